--- /dev/null
+++ b/badgerroad/acquirer.py
@@ -0,0 +1,242 @@
+"""The acquirer side: the listener, client connections, call-backs on the same address and `/-/ready`.
+
+Each request that is taken gets exactly one final answer, through `Exchange.answer`.
+"""
+
+from __future__ import annotations
+
+import errno
+import json
+import logging
+import socket
+from typing import Any, Dict, Iterable, List, Optional, Protocol, Set, Tuple
+
+from tornado.ioloop import IOLoop
+
+from badgerroad import http1
+from badgerroad.connection import Address, Connection, Descriptors, spawn
+from badgerroad.wheel import Wheel
+
+log = logging.getLogger("badgerroad")
+
+LINGER = 1_000_000        # how long the rest of a bad request is read and thrown away
+ACCEPT_PAUSE = 50_000     # how long the listener rests when no descriptor is left
+BATCH = 64                # connections accepted in one go
+CALLBACK_STATES = ("started", "running", "done", "failed", "returned", "lost")
+
+
+class Taker(Protocol):
+    """What takes the requests: the dispatcher, whatever protocol they came by."""
+
+    def take(self, message: http1.Message, exchange: "Exchange") -> None: ...
+
+    def client_gone(self, exchange: "Exchange") -> None: ...
+
+    def called_back(self, request_id: bytes, host: str, state: str, item: Dict[str, Any]) -> None: ...
+
+    @property
+    def ready(self) -> bool: ...
+
+    def knows_path(self, path: bytes) -> bool: ...
+
+
+class Exchange:
+    """One request of a client and its one final answer."""
+
+    __slots__ = ("connection", "answered", "number")
+
+    def __init__(self, connection: "ClientConnection") -> None:
+        self.connection, self.answered, self.number = connection, False, 0
+
+    def answer(self, status: int, body: bytes = b"", headers: Iterable[Tuple[bytes, bytes]] = (),
+               close: bool = False) -> None:
+        if not self.answered:
+            self.answered = True
+            self.connection.answer(status, body, headers, close)
+
+
+class ClientConnection(Connection):
+    def __init__(self, sock: socket.socket, side: "AcquirerSide") -> None:
+        super().__init__(sock, side.descriptors, responses=False)
+        self.side = side
+        self.exchange: Optional[Exchange] = None
+        self._closing = False   # after what is being written
+
+    @property
+    def idle(self) -> bool:
+        return self.exchange is None and self.parser.idle and self.written and not self.lingering
+
+    def wants(self) -> bool:
+        if self.exchange is not None or self._closing:
+            return False
+        return True
+
+    def advance(self) -> None:
+        super().advance()
+        head = self.parser.head
+        if (head is not None and self.exchange is None and not self.expected
+                and (head.get(b"expect") or b"").lower() == b"100-continue"):
+            self.expected = True
+            self.send(http1.response(100))
+
+    expected = False   # the client was told to go on
+
+    def on_message(self, message: http1.Message) -> None:
+        self.expected = False
+        exchange = self.exchange = Exchange(self)
+        self._closing = message.close
+        try:
+            self.side.handle(message, exchange)
+        except Exception:
+            log.exception("unexpected exception on a request")
+            exchange.answer(500, b"internal error\n")
+
+    def on_bad(self, error: http1.BadMessage) -> None:
+        if self.exchange is not None:
+            return   # behind a request that is still open: that one's answer comes first, then the end
+        self._closing = True
+        self.send(http1.response(error.status, str(error).encode() + b"\n", close=True))
+        self.linger()
+
+    def linger(self) -> None:
+        """An end with bytes unread would be a reset, which can destroy the answer on its way."""
+        self.lingering = True
+        self.side.wheel.after(LINGER, self.close)
+
+    def answer(self, status: int, body: bytes, headers: Iterable[Tuple[bytes, bytes]], close: bool) -> None:
+        self.exchange = None
+        self._closing = self._closing or close or self.side.draining
+        self.send(http1.response(status, body, headers, close=self._closing))
+
+    def on_written(self) -> None:
+        if self.lingering:
+            try:
+                self.stream.socket.shutdown(socket.SHUT_WR)
+            except OSError:
+                self.close()
+        elif self.exchange is None and self._closing:
+            self.close()
+        elif self.exchange is None:
+            # What came in behind the request waits in the ring.
+            IOLoop.current().add_callback(self._resume)
+
+    def _resume(self) -> None:
+        try:
+            self.advance()
+        except http1.BadMessage as e:
+            self.on_bad(e)
+
+    def on_closed(self) -> None:
+        exchange, self.exchange = self.exchange, None
+        self.side.connections.discard(self)
+        if exchange is not None and not exchange.answered:
+            exchange.answered = True
+            self.side.taker.client_gone(exchange)
+
+
+class AcquirerSide:
+    def __init__(self, wheel: Wheel, descriptors: Descriptors, taker: Taker) -> None:
+        self.wheel, self.descriptors, self.taker = wheel, descriptors, taker
+        self.connections: Set[ClientConnection] = set()
+        self.draining = False
+        self._listener: Optional[socket.socket] = None
+        self._loop = IOLoop.current()
+
+    def listen(self, address: Address) -> Address:
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setblocking(False)
+        listener.bind(address)
+        listener.listen(1024)
+        self._listener = listener
+        self._loop.add_handler(listener, self._accept, IOLoop.READ)
+        host, port = listener.getsockname()
+        return host, port
+
+    def _accept(self, listener: socket.socket, events: int) -> None:
+        for _ in range(BATCH):
+            if self.descriptors.scarce:
+                self.shed()
+            try:
+                if self.descriptors.spent:
+                    raise OSError(errno.EMFILE, "descriptor limit reached")
+                sock, _peer = listener.accept()
+            except (BlockingIOError, ConnectionAbortedError, InterruptedError):
+                return
+            except OSError as e:
+                # Without a pause the loop would spin on the same connection; it waits in the backlog.
+                log.warning("accept: %s", e)
+                self._loop.remove_handler(listener)
+                self.wheel.after(ACCEPT_PAUSE, self._accept_again)
+                return
+            try:
+                connection = ClientConnection(sock, self)
+            except OSError:
+                sock.close()
+                continue
+            self.connections.add(connection)
+            spawn(connection.read())
+
+    def _accept_again(self) -> None:
+        if self._listener is not None:
+            self._loop.add_handler(self._listener, self._accept, IOLoop.READ)
+
+    def shed(self) -> None:
+        """Close idle connections. One whose next request has crossed this stays."""
+        for connection in [c for c in self.connections if c.idle]:
+            if not connection.peer_has_spoken():
+                connection.close()
+
+    def drain(self) -> None:
+        """Answers close their connections from now on; the listener stays for latecomers and call-backs."""
+        self.draining = True
+        self.shed()
+
+    @property
+    def owed(self) -> bool:
+        return any(not c.idle for c in self.connections)
+
+    def close(self) -> None:
+        if self._listener is not None:
+            try:
+                self._loop.remove_handler(self._listener)
+            finally:
+                self._listener.close()
+                self._listener = None
+        for connection in list(self.connections):
+            connection.close()
+
+    def handle(self, message: http1.Message, exchange: Exchange) -> None:
+        path, method = message.path, message.method
+        wanted: List[bytes] = [b"POST"]
+        if path == b"/-/ready":
+            wanted = [b"GET"]
+        elif path != b"/v1/job-events" and not self.taker.knows_path(path):
+            exchange.answer(404, b"no such path\n")
+            return
+        if method not in wanted:
+            exchange.answer(405, b"wrong method\n", [(b"Allow", wanted[0])])
+        elif path == b"/-/ready":
+            ready = self.taker.ready and not self.draining
+            exchange.answer(200 if ready else 503, b"ready\n" if ready else b"not ready\n")
+        elif path == b"/v1/job-events":
+            self._call_back(message, exchange)
+        elif self.descriptors.short:
+            exchange.answer(503, b"too many connections\n", [(b"Retry-After", b"1")], close=True)
+        else:
+            self.taker.take(message, exchange)
+
+    def _call_back(self, message: http1.Message, exchange: Exchange) -> None:
+        try:
+            item = json.loads(message.body)
+            request_id, host, state = item["id"], item["from"], item["state"]
+            if not (isinstance(request_id, str) and isinstance(host, str) and state in CALLBACK_STATES):
+                raise ValueError("id, from and state are text")
+            if state == "running":
+                float(item.get("share") or 0.0)
+        except (ValueError, KeyError, TypeError, RecursionError) as e:
+            exchange.answer(400, f"not a call-back: {type(e).__name__}\n".encode())
+            return
+        # Answered first: what it sets off must not make the host call again.
+        exchange.answer(200)
+        self.taker.called_back(request_id.encode("utf-8", "replace"), host, state, item)
--- /dev/null
+++ b/badgerroad/config.py
@@ -0,0 +1,89 @@
+"""What a dispatcher is told: the PROXY_* variables and the JSON file that PROXY_CONFIG names, checked."""
+
+from __future__ import annotations
+
+import json
+import resource
+from pathlib import Path
+from typing import Any, Dict, List, Mapping, NamedTuple
+
+from badgerroad.connection import Address
+from badgerroad.routing_table import BadList, Reader, address_of
+from heathcrank import interface as i
+from heathcrank.drill import BadInput, settings_from
+
+
+class BadConfig(Exception):
+    """One line that names the field."""
+
+
+class Config(NamedTuple):
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    known: Any
+    settings: i.Settings
+    zones: List[str]
+    kinds: List[str]
+
+
+def load(environment: Mapping[str, str]) -> Config:
+    path = environment.get("PROXY_CONFIG")
+    if not path:
+        raise BadConfig("PROXY_CONFIG: not set")
+    try:
+        data = json.loads(Path(path).read_bytes())
+    except OSError as e:
+        raise BadConfig(f"PROXY_CONFIG: {path}: {e.strerror}") from e
+    except (ValueError, RecursionError) as e:
+        raise BadConfig(f"PROXY_CONFIG: {path}: not JSON: {e}") from e
+    if not isinstance(data, dict):
+        raise BadConfig(f"PROXY_CONFIG: {path}: not a JSON object")
+    return read(data, environment)
+
+
+def read(data: Dict[str, Any], environment: Mapping[str, str]) -> Config:
+    """The variables, where set, override the file's fields of the same name."""
+    def address(field: str) -> Address:
+        value = environment.get(f"PROXY_{field.upper()}") or data.get(field)
+        if not value:
+            raise BadConfig(f"{field}: missing")
+        try:
+            return address_of(value)
+        except ValueError as e:
+            raise BadConfig(f"{field}: {e}") from e
+
+    def names(field: str) -> List[str]:
+        value = data["settings"].get(field, [])
+        if not isinstance(value, list) or not all(isinstance(v, str) for v in value):
+            raise BadConfig(f"settings.{field}: not a list of names")
+        return value
+
+    seed, limits, known = data.get("seed", "0"), data.get("limits", {}), data.get("known")
+    try:
+        number = int(str(seed), 16)
+    except ValueError as e:
+        raise BadConfig(f"seed: not a hexadecimal number: {seed!r}") from e
+    if not isinstance(limits, dict):
+        raise BadConfig("limits: not an object")
+    sockets = limits.get("sockets", resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+    if not isinstance(sockets, int) or isinstance(sockets, bool) or sockets < 64:
+        raise BadConfig(f"limits.sockets: not a whole number of 64 or more: {sockets!r}")
+    if not isinstance(data.get("settings"), dict):
+        raise BadConfig("settings: missing or not an object")
+    try:
+        settings = settings_from(json.dumps(data["settings"]).encode())
+    except BadInput as e:
+        raise BadConfig(f"settings: {e}") from e
+    zones, kinds = names("zones"), names("hostTypes")
+    known = {"seq": 0, "whole": True, "hosts": []} if known is None else known
+    try:
+        Reader(zones, kinds).read(known)
+    except BadList as e:
+        raise BadConfig(f"known: {e}") from e
+    soft = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    return Config(environment.get("PROXY_NAME") or str(data.get("name", "")), address("listen"),
+                  address("discovery"), number, min(sockets, soft) if soft > 0 else sockets, known, settings,
+                  zones, kinds)
--- /dev/null
+++ b/badgerroad/connection.py
@@ -0,0 +1,237 @@
+"""What all connections share: the descriptor, a ring each way, one reader and one writer.
+
+A read is always pending, so a peer that closes is noticed at once, on idle connections too.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from typing import Any, Coroutine, Optional, Set, Tuple
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from badgerroad.http1 import RING_LIMIT, BadMessage, Message, Parser
+from badgerroad.ring import Ring
+
+Address = Tuple[str, int]
+log = logging.getLogger("badgerroad")
+_tasks: Set["asyncio.Task[None]"] = set()
+
+
+def spawn(coroutine: Coroutine[Any, Any, None]) -> None:
+    """Run beside the rest; what it raises unexpectedly goes to the log with its traceback."""
+    def ended(task: "asyncio.Task[None]") -> None:
+        _tasks.discard(task)
+        if not task.cancelled() and task.exception():
+            log.error("unexpected exception", exc_info=task.exception())
+    task = asyncio.ensure_future(coroutine)
+    _tasks.add(task)   # the loop itself keeps weak references only
+    task.add_done_callback(ended)
+
+
+class Descriptors:
+    """The count of open sockets against the limit. Each connection takes one and gives it back in `close`."""
+
+    RESERVE = 24   # standard streams, the loop's own, the listener, discovery, a few in passing
+
+    def __init__(self, limit: int) -> None:
+        self.limit, self.used = max(limit - self.RESERVE, 8), 0
+
+    @property
+    def scarce(self) -> bool:
+        """Idle connections should go."""
+        return self.used >= self.limit * 0.9
+
+    @property
+    def short(self) -> bool:
+        """New work should be declined: a job may need one more socket for its leg."""
+        return self.used >= self.limit * 0.95
+
+    @property
+    def spent(self) -> bool:
+        return self.used >= self.limit
+
+
+class Connection:
+    def __init__(self, sock: socket.socket, descriptors: Descriptors, responses: bool) -> None:
+        self.descriptors = descriptors
+        descriptors.used += 1
+        self.stream = IOStream(sock)
+        self.stream.set_nodelay(True)
+        self.ring_in, self.ring_out = Ring(RING_LIMIT), Ring(2 * RING_LIMIT)
+        self.parser = Parser(self.ring_in, responses)
+        self.closed = False
+        self._flushing = 0        # bytes of ring_out that the stream is writing
+        self._write: Optional["asyncio.Future[None]"] = None
+        self._room = asyncio.Event()
+
+    @property
+    def written(self) -> bool:
+        """Has the last byte given to `send` gone to the socket?"""
+        if not len(self.ring_out):
+            return True
+        # The stream may be done while its callback has yet to run: what it knows is what counts.
+        done = self._write is not None and self._write.done() and not self._write.exception()
+        return done and self._flushing == len(self.ring_out)
+
+    def send(self, data: bytes) -> None:
+        if self.closed:
+            return
+        self.ring_out.put(data)
+        if not self._flushing:
+            self._flush()
+
+    def _flush(self) -> None:
+        view = self.ring_out.readable()
+        self._flushing = len(view)
+        try:
+            self._write = self.stream.write(view)
+        except StreamClosedError:
+            self.close()
+            return
+        self._write.add_done_callback(self._flushed)
+
+    def _flushed(self, future: "asyncio.Future[None]") -> None:
+        if future.exception() or self.closed:
+            self.close()
+            return
+        self.ring_out.take(self._flushing)
+        self._flushing = 0
+        if len(self.ring_out):
+            self._flush()
+        else:
+            self.ring_out.shrink()
+            self.on_written()
+
+    async def read(self) -> None:
+        """The reader: until the connection ends, from either side."""
+        try:
+            while not self.closed:
+                self.ring_in.shrink()
+                if self.ring_in.full:
+                    self._room.clear()   # what a peer sends ahead waits in its own buffers
+                    await self._room.wait()
+                    continue
+                space: Any = self.ring_in.writable()   # any writable buffer will do, though it is typed narrower
+                self.ring_in.commit(await self.stream.read_into(space, partial=True))
+                self.advance()
+        except StreamClosedError:
+            last = self.parser.ended()
+            if last is not None:
+                self.on_message(last)
+        except BadMessage as e:
+            self.on_bad(e)
+        finally:
+            if not self.lingering:
+                self.close()
+        while self.lingering and not self.closed:
+            try:
+                await self.stream.read_into(bytearray(4096), partial=True)
+            except StreamClosedError:
+                self.close()
+
+    lingering = False   # the last answer is out; what still comes is thrown away
+
+    def advance(self) -> None:
+        """Hand out the messages that are whole, one at a time."""
+        while not self.closed and not self.lingering and self.wants():
+            message = self.parser.next()
+            if message is None:
+                break
+            self.on_message(message)
+        self._room.set()
+
+    def close(self) -> None:
+        """The one place where the descriptor and the rings are given back."""
+        if self.closed:
+            return
+        self.closed = True
+        self.descriptors.used -= 1
+        self.stream.close()
+        self._room.set()
+        self.on_closed()
+
+    def peer_has_spoken(self) -> bool:
+        """Is there something unread on the socket, an end included? The loop may not have seen it yet."""
+        if self.stream.closed():
+            return True
+        try:
+            self.stream.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            pass
+        return True
+
+    # What the owner does with it.
+
+    def wants(self) -> bool:
+        return True
+
+    def on_message(self, message: Message) -> None: ...
+
+    def on_bad(self, error: BadMessage) -> None: ...
+
+    def on_written(self) -> None: ...
+
+    def on_closed(self) -> None: ...
+
+
+class Broken(Exception):
+    """The connection ended before the answer. `sent` tells whether the last byte of the request was out."""
+
+    def __init__(self, sent: bool, why: str) -> None:
+        super().__init__(why)
+        self.sent = sent
+
+
+class CallConnection(Connection):
+    """A connection to an issuer host or to discovery: one call at a time."""
+
+    def __init__(self, descriptors: Descriptors) -> None:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        super().__init__(sock, descriptors, responses=True)
+        self._answer: Optional["asyncio.Future[Message]"] = None
+        self.reusable = False
+
+    async def connect(self, address: Address) -> None:
+        try:
+            await self.stream.connect(address)
+        except (StreamClosedError, OSError) as e:
+            self.close()
+            raise Broken(False, f"no connection: {self.stream.error or e}") from e
+        if self.closed:
+            raise Broken(False, "given up while connecting")
+        self.reusable = True
+        spawn(self.read())
+
+    async def call(self, data: bytes) -> Message:
+        if self.closed:
+            raise Broken(False, "closed before the call")
+        self.reusable = False
+        self._answer = asyncio.get_event_loop().create_future()
+        self.send(data)
+        return await self._answer
+
+    def on_message(self, message: Message) -> None:
+        answer, self._answer = self._answer, None
+        if answer is None:
+            self.close()   # nobody asked: what comes next could be taken for the answer to another call
+            return
+        self.reusable = not message.close and self.parser.idle and self.written
+        answer.set_result(message)
+        if not self.reusable:
+            self.close()
+
+    def on_bad(self, error: BadMessage) -> None:
+        answer, self._answer = self._answer, None
+        if answer is not None:
+            answer.set_exception(Broken(True, f"not an answer: {error}"))
+
+    def on_closed(self) -> None:
+        self.reusable = False
+        answer, self._answer = self._answer, None
+        if answer is not None:
+            answer.set_exception(Broken(self.written, f"broken off: {self.stream.error or 'closed'}"))
--- /dev/null
+++ b/badgerroad/dispatcher.py
@@ -0,0 +1,272 @@
+"""The host of the decision module: events in, and its actions performed directly on the sockets.
+
+It keeps the open requests and the legs of each. An event raised while another is handled waits in line, so the
+module is never entered twice at once.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import deque
+from hashlib import blake2b
+from typing import Any, Callable, Deque, Dict, List, Optional
+
+from badgerroad import http1
+from badgerroad.acquirer import AcquirerSide, Exchange
+from badgerroad.config import Config
+from badgerroad.connection import Address, Descriptors
+from badgerroad.issuer import Issuers, Leg, Load, Order
+from badgerroad.routing_table import Reader, RoutingTable
+from badgerroad.wheel import Timer, Wheel
+from heathcrank import interface as i
+from heathcrank.brain import Dispatcher as Decisions
+
+log = logging.getLogger("badgerroad")
+
+# Of the client's headers, those that speak of its own connection or wait are not passed on.
+OWN_HEADERS = frozenset((
+    b"host", b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
+    b"upgrade", b"expect", b"content-length", b"request-timeout-ms", b"client-retry"))
+LONGEST_WAIT = 3_600_000
+
+
+class BadRequest(Exception):
+    """A header that the request needs is missing or malformed."""
+
+
+class OpenRequest:
+    """Taken and not answered yet, or answered with legs still out."""
+
+    __slots__ = ("number", "order", "exchange", "cls", "begun", "legs", "out", "backstop")
+
+    def __init__(self, number: int, order: Order, exchange: Exchange, cls: i.RequestClass, begun: int) -> None:
+        self.number, self.order, self.exchange, self.cls, self.begun = number, order, exchange, cls, begun
+        self.legs: List[Leg] = []
+        self.out = 0
+        self.backstop: Optional[Timer] = None
+
+
+class Dispatcher:
+    def __init__(self, config: Config, wheel: Wheel) -> None:
+        self.config, self.settings, self.wheel, self.clock = config, config.settings, wheel, wheel.clock
+        self.decisions = Decisions(config.settings, config.seed)
+        self.descriptors = Descriptors(config.sockets)
+        self.issuers = Issuers(wheel, self.descriptors, config.settings, self._leg_over, self.feed)
+        self.table = RoutingTable(wheel, self.descriptors, Reader(config.zones, config.kinds), config.discovery,
+                                  self._news)
+        self.acquirers = AcquirerSide(wheel, self.descriptors, self)
+        self.classes = {c.name.encode(): n for n, c in enumerate(config.settings.classes)}
+        self.tenants = {t.name.encode(): n for n, t in enumerate(config.settings.tenants)}
+        self.requests: Dict[int, OpenRequest] = {}
+        self.by_id: Dict[bytes, OpenRequest] = {}
+        self._count = 0
+        self._line: Deque[i.Event] = deque()
+        self._handling = False
+        self._perform: Dict[type, Callable[[Any], None]] = {
+            i.Send: self._send, i.Refuse: self._refuse, i.Fail: self._fail, i.Cancel: self._cancel,
+            i.SetTimer: lambda a: self._set_timer(a), i.Subscribe: lambda a: self.table.subscribe(a.on),
+            i.Fetch: lambda a: self.table.fetch(), i.Probe: lambda a: self.issuers.probe(str(a.worker)),
+            i.CloseIdle: lambda a: self.issuers.close_idle(str(a.worker)),
+            i.Log: lambda a: log.info("module: %s", a.text)}
+
+    def start(self) -> Address:
+        address = self.acquirers.listen(self.config.listen)
+        self.table.known(self.config.known)
+        return address
+
+    @property
+    def ready(self) -> bool:
+        return self.table.heard
+
+    # The module.
+
+    def feed(self, event: i.Event) -> None:
+        self._line.append(event)
+        if self._handling:
+            return
+        self._handling = True
+        try:
+            while self._line:
+                self._handle(self._line.popleft())
+        finally:
+            self._handling = False
+
+    def _handle(self, event: i.Event) -> None:
+        try:
+            actions = self.decisions.handle(self.clock.now(), event)
+        except Exception:
+            log.exception("the module broke on %r", event)
+            self._give_up(getattr(event, "request", -1))
+            return
+        for action in actions:
+            perform = self._perform.get(type(action))
+            if perform is None:
+                log.error("an action that this deployment has no use for: %r", action)
+                continue
+            try:
+                perform(action)
+            except Exception:
+                log.exception("could not perform %r", action)
+                self._give_up(getattr(action, "request", -1))
+
+    def _give_up(self, number: int) -> None:
+        """After an unexpected exception: the request still gets its answer, the one that promises nothing."""
+        request = self.requests.get(number)
+        if request:
+            self._finish(request, 500, b"internal error\n")
+
+    # Actions.
+
+    def _send(self, a: i.Send) -> None:
+        request = self.requests[a.request]
+        leg = Leg(a.request, len(request.legs), request.order, str(a.worker), self.clock.now())
+        request.legs.append(leg)
+        request.out += 1
+        if request.exchange.answered or leg.number >= self.settings.max_attempts:
+            leg.over = True
+            self._leg_over(leg, i.MOOT, None, b"")
+        else:
+            self.issuers.start(leg, a.timeout)
+
+    def _refuse(self, a: i.Refuse) -> None:
+        request = self.requests.get(a.request)
+        if request:
+            wait = min(a.retry_after, self.settings.max_retry_after) if self.settings.retry_after else 0
+            headers = [(b"Retry-After", b"%.3f" % (wait / 1e6))] if wait > 0 else []
+            self._finish(request, 503, b"declined\n", headers)
+
+    def _fail(self, a: i.Fail) -> None:
+        request = self.requests.get(a.request)
+        if request:
+            late = self.clock.now() >= request.order.deadline - 10 * self.settings.tick
+            self._finish(request, 504 if late else 502, b"failed\n")
+
+    def _cancel(self, a: i.Cancel) -> None:
+        request = self.requests.get(a.request)
+        if request and a.attempt < len(request.legs):
+            self.issuers.cancel(request.legs[a.attempt])
+
+    def _set_timer(self, a: i.SetTimer) -> None:
+        self.wheel.after(a.delay, lambda: self.feed(i.Timer(a.token)))
+
+    def _finish(self, request: OpenRequest, status: int, body: bytes, headers: http1.Headers = []) -> None:
+        """The one place where a request is answered."""
+        if not request.exchange.answered:
+            took = (self.clock.now() - request.begun) // 1000
+            log.info("%s %s: %d after %d ms, %d legs", request.order.id.decode("latin-1"), request.cls.name, status,
+                     took, len(request.legs))
+            request.exchange.answer(status, body, headers)
+        self._settle(request)
+
+    def _settle(self, request: OpenRequest) -> None:
+        """Forget a request that is answered and has no leg out."""
+        if request.exchange.answered:
+            if request.backstop:
+                request.backstop.cancel()
+            if not request.out:
+                self.requests.pop(request.number, None)
+                self.by_id.pop(request.order.id, None)
+
+    # The issuer side and the routing table report.
+
+    def _leg_over(self, leg: Leg, result: str, load: Load, body: bytes) -> None:
+        request = self.requests[leg.request]
+        request.out -= 1
+        finished = request.exchange.answered or result == i.OK
+        if result == i.OK:
+            self._finish(request, 200, body)
+        elif result != i.CANCELLED:
+            log.info("%s leg %d at %s: %s", request.order.id.decode("latin-1"), leg.number, leg.worker, result)
+        self.feed(i.Outcome(leg.request, leg.number, leg.worker, result, self.clock.now() - leg.sent, finished, load))
+        self._settle(request)
+
+    def _news(self, news: i.WorkerList, places: Dict[str, Address]) -> None:
+        for name, address in places.items():
+            self.issuers.place(name, address)
+        self.feed(news)
+        if news.scope != i.FAILED:
+            self.issuers.forget_gone(self.table.listed.__contains__)
+
+    # The acquirer side.
+
+    def knows_path(self, path: bytes) -> bool:
+        return path.split(b"/")[1:2] != [] and path.split(b"/")[1] in self.classes
+
+    def called_back(self, request_id: bytes, host: str, state: str, item: Dict[str, Any]) -> None:
+        self.issuers.called_back(request_id, host, state, item)
+
+    def take(self, message: http1.Message, exchange: Exchange) -> None:
+        try:
+            number = self._count + 1
+            event, request_id = self._read(message, number)
+        except BadRequest as e:
+            exchange.answer(400, f"{e}\n".encode())
+            return
+        self._count = exchange.number = number
+        now = self.clock.now()
+        headers = [(n.title(), v) for n, v in message.headers if n not in OWN_HEADERS]
+        order = Order(message, request_id, headers, now + event.time_left)
+        cls = self.settings.classes[event.class_index]
+        request = self.requests[number] = self.by_id[request_id] = OpenRequest(number, order, exchange, cls, now)
+        # Should the module ever fail to answer, the client still hears before it gives up.
+        request.backstop = self.wheel.after(max(event.time_left - self.settings.tick, 0),
+                                            lambda: self._finish(request, 504, b"out of time\n"))
+        self.feed(event)
+
+    def client_gone(self, exchange: Exchange) -> None:
+        request = self.requests.get(exchange.number)
+        if request:
+            log.info("%s: the client has left", request.order.id.decode("latin-1"))
+            self.feed(i.ClientGone(request.number))
+            self._settle(request)
+
+    def _read(self, message: http1.Message, number: int) -> "tuple[i.Request, bytes]":
+        def number_of(name: bytes, least: int, most: int, default: Optional[int]) -> int:
+            text = message.get(name)
+            if text is None and default is not None:
+                return default
+            if text is None or not text.isdigit() or not least <= int(text[:15]) <= most:
+                raise BadRequest(f"{name.decode()} is missing or malformed")
+            return int(text)
+
+        parts = message.path.split(b"/")
+        class_name, request_id = message.get(b"request-class"), message.get(b"request-id") or b""
+        if class_name is not None and class_name != parts[1]:
+            raise BadRequest("request-class is not that of the path")
+        if not request_id or len(request_id) > 128 or not request_id.isascii() or b"/" in request_id:
+            raise BadRequest("request-id is missing or malformed")
+        if request_id in self.by_id:
+            raise BadRequest("request-id is that of an open request")
+        extras = {}
+        for part in (message.get(b"request-info") or b"").split(b","):
+            name, equals, value = part.strip().partition(b"=")
+            if not part.strip():
+                continue
+            try:
+                extras[name] = float(value)
+            except ValueError:
+                raise BadRequest("request-info is malformed") from None
+        slots, memory = extras.get(b"slots", 1.0), extras.get(b"memory", 0.0)
+        if not 0 < slots < 1e6 or not 0 <= memory < 1e9:
+            raise BadRequest("request-info is out of range")
+        if self.tenants and (message.get(b"tenant") or b"") not in self.tenants:
+            raise BadRequest("tenant is missing or unknown")
+        key = int.from_bytes(blake2b(parts[-1], digest_size=8).digest(), "big") if len(parts) > 2 else 0
+        return i.Request(
+            number, self.classes[parts[1]], self.tenants.get(message.get(b"tenant") or b"", 0), key,
+            number_of(b"request-timeout-ms", 1, LONGEST_WAIT, None) * 1000, number_of(b"work-hint", 0, 10**12, 0),
+            slots, memory, message.get(b"client-retry") == b"1"), request_id
+
+    # The end.
+
+    def drain(self) -> None:
+        self.acquirers.drain()
+
+    @property
+    def owed(self) -> bool:
+        return self.acquirers.owed or any(not r.exchange.answered for r in self.requests.values())
+
+    def close(self) -> None:
+        self.acquirers.close()
+        self.table.close()
+        self.issuers.shed()
--- /dev/null
+++ b/badgerroad/http1.py
@@ -0,0 +1,206 @@
+"""HTTP/1.1 messages: an incremental parser over a ring, and the serializer.
+
+It reads strictly: whatever two readers could frame in two ways (two lengths, a length beside chunks, bare line
+feeds, blanks before a colon) is refused, as the bytes behind it would be taken for another request.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import Iterable, List, Optional, Tuple
+
+from badgerroad.ring import Ring
+
+HEADER_LIMIT = 16 * 1024
+BODY_LIMIT = 64 * 1024
+RING_LIMIT = HEADER_LIMIT + BODY_LIMIT
+REASONS = {100: "Continue", 200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found",
+           405: "Method Not Allowed", 413: "Content Too Large", 431: "Request Header Fields Too Large",
+           500: "Internal Server Error", 502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
+           505: "HTTP Version Not Supported"}
+
+Headers = List[Tuple[bytes, bytes]]
+
+_TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
+_TARGET = re.compile(rb"[!-~]+\Z")
+_VALUE = re.compile(rb"[\t -~\x80-\xff]*\Z")
+_VERSION = re.compile(rb"HTTP/1\.[01]\Z")
+_CHUNK = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[\t -~\x80-\xff]*)?\Z")
+
+
+class BadMessage(Exception):
+    """What came is not a message; `status` is the answer where one is owed."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+class Message:
+    """One request (method, target) or response (status). Header names are in lower case."""
+
+    __slots__ = ("method", "target", "status", "headers", "body", "close")
+
+    def __init__(self, method: bytes, target: bytes, status: int, headers: Headers, version: bytes) -> None:
+        self.method, self.target, self.status, self.headers = method, target, status, headers
+        self.body = b""
+        options = {o.strip().lower() for o in (self.get(b"connection") or b"").split(b",")}
+        self.close = b"close" in options or version == b"HTTP/1.0" and b"keep-alive" not in options
+
+    @property
+    def path(self) -> bytes:
+        return self.target.partition(b"?")[0]
+
+    def all(self, name: bytes) -> List[bytes]:
+        return [v for n, v in self.headers if n == name]
+
+    def get(self, name: bytes) -> Optional[bytes]:
+        values = self.all(name)
+        return b",".join(values) if values else None
+
+
+class Parser:
+    """Takes whole messages out of a ring. `next` gives None while one is incomplete."""
+
+    def __init__(self, ring: Ring, responses: bool = False) -> None:
+        self.ring, self.responses = ring, responses
+        self.head: Optional[Message] = None
+        self._length = 0          # -1: chunked, -2: up to the end of the connection
+        self._chunks = bytearray()
+        self._left = -1           # of the current chunk with its line end; -1: a size line is next; -2: trailers
+
+    @property
+    def idle(self) -> bool:
+        return self.head is None and not len(self.ring)
+
+    def next(self) -> Optional[Message]:
+        if self.head is None and not self._read_head():
+            return None
+        if self._length == -1:
+            return self._read_chunks()
+        if self._length == -2:
+            if len(self.ring) > BODY_LIMIT:
+                raise BadMessage(413, "the body is too large")
+            return None
+        if len(self.ring) < self._length:
+            return None
+        return self._done(self.ring.take(self._length))
+
+    def ended(self) -> Optional[Message]:
+        """The peer has closed: a response without a length ends here."""
+        if self.head is not None and self._length == -2 and len(self.ring) <= BODY_LIMIT:
+            self.head.close = True
+            return self._done(self.ring.take(len(self.ring)))
+        return None
+
+    def _done(self, body: bytes) -> Message:
+        message, self.head = self.head, None
+        assert message is not None
+        message.body = body
+        return message
+
+    def _read_head(self) -> bool:
+        data = self.ring.peek()
+        blank = 0
+        while data.startswith(b"\r\n", blank) and not self.responses:
+            blank += 2   # blank lines before a request are allowed
+        end = data.find(b"\r\n\r\n", blank)
+        if end < 0 and len(data) - blank < HEADER_LIMIT:
+            self.ring.take(blank)
+            return False
+        if end < 0 or end - blank > HEADER_LIMIT:
+            raise BadMessage(431, "the header is too large")
+        self.ring.take(end + 4)
+        first, *lines = data[blank:end].split(b"\r\n")
+        headers: Headers = []
+        for line in lines:
+            name, colon, value = line.partition(b":")
+            value = value.strip(b" \t")
+            if not colon or not _TOKEN.match(name) or not _VALUE.match(value):
+                raise BadMessage(400, "a header line is malformed")
+            headers.append((name.lower(), value))
+        words = first.split(b" ", 2)
+        if self.responses:
+            if len(words) < 2 or not _VERSION.match(words[0]) or not re.match(rb"[1-5]\d\d\Z", words[1]):
+                raise BadMessage(502, "the status line is malformed")
+            head = Message(b"", b"", int(words[1]), headers, words[0])
+        else:
+            if len(words) != 3 or not _TOKEN.match(words[0]) or not _TARGET.match(words[1]):
+                raise BadMessage(400, "the request line is malformed")
+            if not _VERSION.match(words[2]):
+                raise BadMessage(505 if words[2].startswith(b"HTTP/") else 400, "the version is not HTTP/1.1")
+            head = Message(words[0], words[1], 0, headers, words[2])
+        self._length = self._framing(head)
+        self._chunks, self._left = bytearray(), -1
+        if self.responses and 100 <= head.status < 200:
+            return self._read_head()   # an interim answer
+        self.head = head
+        return True
+
+    def _framing(self, head: Message) -> int:
+        lengths, codings = head.all(b"content-length"), head.all(b"transfer-encoding")
+        if codings:
+            if lengths or [c.lower() for c in codings] != [b"chunked"]:
+                raise BadMessage(400, "the framing is ambiguous")
+            return -1
+        if len(lengths) > 1 or lengths and not re.match(rb"\d{1,15}\Z", lengths[0]):
+            raise BadMessage(400, "the length is malformed or given twice")
+        if self.responses and (head.status in (204, 304) or head.status < 200):
+            return 0
+        if lengths and int(lengths[0]) > BODY_LIMIT:
+            raise BadMessage(413, "the body is too large")
+        if lengths:
+            return int(lengths[0])
+        return -2 if self.responses else 0
+
+    def _line(self) -> Optional[bytes]:
+        data = self.ring.peek()
+        end = data.find(b"\r\n")
+        if end > HEADER_LIMIT or end < 0 and len(data) > HEADER_LIMIT:
+            raise BadMessage(400, "a line among the chunks is too long")
+        return self.ring.take(end + 2)[:-2] if end >= 0 else None
+
+    def _read_chunks(self) -> Optional[Message]:
+        while True:
+            if self._left >= 0:
+                if len(self.ring) < self._left:
+                    return None
+                part = self.ring.take(self._left)
+                if part[-2:] != b"\r\n":
+                    raise BadMessage(400, "a chunk does not end where it says")
+                self._chunks += part[:-2]
+                self._left = -1
+            line = self._line()
+            if line is None:
+                return None
+            if self._left == -2:
+                if not line:
+                    return self._done(bytes(self._chunks))
+                continue   # trailers are dropped
+            match = _CHUNK.match(line)
+            if not match:
+                raise BadMessage(400, "a chunk's size is malformed")
+            size = int(match.group(1), 16)
+            if len(self._chunks) + size > BODY_LIMIT:
+                raise BadMessage(413, "the body is too large")
+            self._left = size + 2 if size else -2
+
+
+def _message(first: str, headers: Iterable[Tuple[bytes, bytes]], body: Optional[bytes]) -> bytes:
+    lines = [first.encode("latin-1")] + [n + b": " + v for n, v in headers]
+    if body is not None:
+        lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + (body or b"")
+
+
+def response(status: int, body: bytes = b"", headers: Iterable[Tuple[bytes, bytes]] = (),
+             close: bool = False) -> bytes:
+    more = [(b"Connection", b"close")] if close else []
+    sized = None if status in (100, 204) else body
+    return _message(f"HTTP/1.1 {status} {REASONS.get(status, 'Unknown')}", [*headers, *more], sized)
+
+
+def request(method: bytes, target: bytes, host: str, headers: Iterable[Tuple[bytes, bytes]] = (),
+            body: Optional[bytes] = None) -> bytes:
+    first = f"{method.decode('latin-1')} {target.decode('latin-1')} HTTP/1.1"
+    return _message(first, [(b"Host", host.encode("latin-1")), *headers], body)
--- /dev/null
+++ b/badgerroad/issuer.py
@@ -0,0 +1,295 @@
+"""The issuer side: connections and idle pool of each issuer host, legs, cancels and probes.
+
+A leg is one attempt of a request at one host. It is opened by `start` and given back in `_end`, whatever ends
+it: an answer, a call-back, a break, its time or a cancel. Nothing is ever sent again here.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import math
+from typing import Any, Callable, Dict, List, Optional, Tuple
+
+from badgerroad import http1
+from badgerroad.connection import Address, Broken, CallConnection, Descriptors, spawn
+from badgerroad.wheel import Timer, Wheel
+from heathcrank import interface as i
+
+log = logging.getLogger("badgerroad")
+
+DELETE_TIME = 1_000_000   # how long a cancel may take
+PROBE_TIME = 1_000_000    # or a probe
+AFTERMATH = 2_000_000     # or the 202 of a leg that a call-back has ended already
+RETIRE = 0.75             # part of the allowed idle time after which a connection is closed from this side
+
+Load = Optional[Tuple[float, ...]]
+# The settings and the sockets may use different words for one figure of a load report.
+WORDS = {"qps": "rps", "eps": "err_rps", "inflight": "active", "queue": "waiting", "util": "cpu",
+         "latency_ms": "avg_ms"}
+
+
+class Order:
+    """What the legs of one request pass on, byte for byte."""
+
+    __slots__ = ("id", "method", "target", "headers", "body", "deadline")
+
+    def __init__(self, message: http1.Message, request_id: bytes, headers: http1.Headers, deadline: int) -> None:
+        self.id, self.method, self.target, self.body = request_id, message.method, message.target, message.body
+        self.headers, self.deadline = headers, deadline
+
+
+class Leg:
+    __slots__ = ("request", "number", "order", "worker", "sent", "started", "accepted", "over", "host", "timer",
+                 "connection")
+
+    def __init__(self, request: int, number: int, order: Order, worker: str, now: int) -> None:
+        self.request, self.number, self.order, self.worker, self.sent = request, number, order, worker, now
+        self.started = self.accepted = self.over = False
+        self.host: Optional[IssuerHost] = None
+        self.timer: Optional[Timer] = None
+        self.connection: Optional[CallConnection] = None   # while the answer to the request is awaited
+
+
+class IssuerHost:
+    """One host of the routing table: where it is, and its idle connections, the latest used last."""
+
+    def __init__(self, name: str, address: Address) -> None:
+        self.name, self.address = name, address
+        self.idle: List[Tuple[CallConnection, Timer]] = []
+        self.cancelling: Dict[bytes, "asyncio.Future[None]"] = {}
+
+
+class Issuers:
+    def __init__(self, wheel: Wheel, descriptors: Descriptors, settings: i.Settings,
+                 report: Callable[[Leg, str, Load, bytes], None],
+                 raise_event: Callable[[i.Event], None]) -> None:
+        self.wheel, self.clock, self.descriptors, self.settings = wheel, wheel.clock, descriptors, settings
+        self.report, self.raise_event = report, raise_event
+        self.hosts: Dict[str, IssuerHost] = {}
+        self.legs: Dict[Tuple[bytes, str], Leg] = {}   # a host holds one leg of a request at a time
+        self.fields = [(n, WORDS.get(n, n)) for n in settings.report_names]
+
+    def place(self, name: str, address: Address) -> None:
+        """The routing table names a host, or its new address."""
+        host = self.hosts.get(name)
+        if host is None:
+            self.hosts[name] = IssuerHost(name, address)
+        elif host.address != address:
+            self.close_idle(name)
+            host.address = address
+
+    # Legs.
+
+    def start(self, leg: Leg, timeout: int) -> None:
+        """`timeout`: microseconds until it is given up, 0 for as long as the client waits."""
+        left = leg.order.deadline - leg.sent
+        left = min(left, timeout) if timeout else left
+        key = leg.order.id, leg.worker
+        host = leg.host = self.hosts.get(leg.worker)
+        if left <= 0 or key in self.legs or host is None:
+            leg.over = True
+            self.report(leg, i.MOOT, None, b"")
+            return
+        self.legs[key] = leg
+        leg.timer = self.wheel.after(left, lambda: self._give_up(leg, i.TIMEOUT))
+        spawn(self._run(leg, host, leg.sent + left))
+
+    async def _run(self, leg: Leg, host: IssuerHost, until: int) -> None:
+        try:
+            await self._run_leg(leg, host, until)
+        except Broken as e:
+            if not leg.over:
+                log.info("leg %s at %s: %s", leg.order.id.decode("latin-1"), leg.worker, e)
+            self._end(leg, i.RESET if e.sent else i.CONNECT_FAILED)
+        except Exception:
+            self._end(leg, i.RESET)
+            raise
+        finally:
+            leg.connection = None
+
+    async def _run_leg(self, leg: Leg, host: IssuerHost, until: int) -> None:
+        order = leg.order
+        while order.id in host.cancelling and not leg.over:
+            await asyncio.wait([host.cancelling[order.id]])   # an earlier leg there must be off first
+        connection = None if leg.over else await self._checkout(host, leg)
+        if leg.over or connection is None:
+            if connection:
+                self._checkin(host, connection)
+            return
+        leg.connection = connection
+        left = max((until - self.clock.now()) // 1000, 1)
+        data = http1.request(order.method, order.target, f"{host.address[0]}:{host.address[1]}",
+                             [*order.headers, (b"Request-Timeout-Ms", b"%d" % left)], order.body)
+        answer = await connection.call(data)
+        self._checkin(host, connection)
+        if answer.status == 202:
+            leg.accepted = True
+            return
+        never = answer.status in (503, 504) and (answer.get(b"not-started") or b"").strip() == b"1"
+        self._end(leg, i.FULL if never else i.ERROR, self._load_header(answer))
+
+    def _end(self, leg: Leg, result: str, load: Load = None, body: bytes = b"") -> None:
+        """The one place where a leg is given back."""
+        if leg.over:
+            return
+        leg.over = True
+        del self.legs[leg.order.id, leg.worker]
+        if leg.timer:
+            leg.timer.cancel()
+        self.report(leg, result, load, body)
+
+    def _give_up(self, leg: Leg, result: str) -> None:
+        """Stop waiting: before the 202 the connection is closed, after it the host is told."""
+        if leg.over:
+            return
+        connection = leg.connection
+        if leg.accepted and leg.host:
+            leg.host.cancelling[leg.order.id] = asyncio.get_event_loop().create_future()
+            spawn(self._delete(leg.host, leg.order.id))
+        self._end(leg, result)
+        if connection is not None:
+            connection.close()
+
+    def cancel(self, leg: Leg) -> None:
+        self._give_up(leg, i.CANCELLED)
+
+    async def _delete(self, host: IssuerHost, request_id: bytes) -> None:
+        try:
+            await self._short_call(host, b"DELETE", b"/jobs/" + request_id, DELETE_TIME)
+        except Broken as e:
+            log.info("cancel of %s at %s: %s", request_id.decode("latin-1"), host.name, e)
+        finally:
+            host.cancelling.pop(request_id).set_result(None)
+
+    # Call-backs name the request and the host, not the attempt, and may come again or before the 202.
+
+    def called_back(self, request_id: bytes, name: str, state: str, item: Dict[str, Any]) -> None:
+        leg = self.legs.get((request_id, name))
+        if leg is None:
+            return   # told twice, or of a leg that was given up
+        if state == "started":
+            if not leg.started:
+                leg.started = True
+                self.raise_event(i.Started(leg.request, leg.number, leg.worker))
+            return
+        if state == "running":
+            self.raise_event(i.Progress(leg.request, leg.number, leg.worker, float(item.get("share") or 0.0)))
+            return
+        load = self._load_of(item["load"]) if isinstance(item.get("load"), dict) else None
+        connection, result = leg.connection, item.get("result", "")
+        if state == "done":
+            body = result.encode() if isinstance(result, str) else json.dumps(result).encode()
+            self._end(leg, i.OK, load, body)
+        else:
+            self._end(leg, {"failed": i.ERROR, "returned": i.FULL, "lost": i.RESET}[state], load)
+        if connection is not None:
+            # The 202 is still to come; a host that has fallen silent must not keep the socket for good.
+            self.wheel.after(AFTERMATH, lambda: connection.close() if leg.connection is connection else None)
+
+    # Connections.
+
+    async def _checkout(self, host: IssuerHost, leg: Optional[Leg] = None) -> CallConnection:
+        while host.idle:
+            connection, timer = host.idle.pop()
+            timer.cancel()
+            if connection.reusable and not connection.peer_has_spoken():
+                return connection
+            connection.close()
+        if self.descriptors.scarce:
+            self.shed()
+        if self.descriptors.spent:
+            raise Broken(False, "no descriptor left")
+        connection = CallConnection(self.descriptors)
+        if leg is not None:
+            leg.connection = connection
+        timer = self.wheel.after(self.settings.connect_timeout or 1_000_000, connection.close)
+        try:
+            await connection.connect(host.address)
+        finally:
+            timer.cancel()
+        return connection
+
+    def _checkin(self, host: IssuerHost, connection: CallConnection) -> None:
+        if not connection.reusable:
+            connection.close()
+            return
+        idle = int((self.settings.connection_idle or 60_000_000) * RETIRE)
+        host.idle.append((connection, self.wheel.after(idle, lambda: self._retire(host, connection))))
+
+    @staticmethod
+    def _retire(host: IssuerHost, connection: CallConnection) -> None:
+        host.idle = [(c, t) for c, t in host.idle if c is not connection]
+        connection.close()
+
+    def close_idle(self, name: str) -> None:
+        host = self.hosts.get(name)
+        while host and host.idle:
+            connection, timer = host.idle.pop()
+            timer.cancel()
+            connection.close()
+
+    def shed(self) -> None:
+        """Near the descriptor limit: idle connections go, all of them."""
+        for name in self.hosts:
+            self.close_idle(name)
+
+    def forget_gone(self, listed: Callable[[str], bool]) -> None:
+        """Hosts that are off the list and hold nothing of ours any more."""
+        busy = {worker for _, worker in self.legs}
+        for name in [n for n in self.hosts if not listed(n)]:
+            self.close_idle(name)
+            if name not in busy and not self.hosts[name].cancelling:
+                del self.hosts[name]
+
+    async def _short_call(self, host: IssuerHost, method: bytes, target: bytes, time: int) -> http1.Message:
+        connection = await self._checkout(host)
+        timer = self.wheel.after(time, connection.close)
+        try:
+            answer = await connection.call(http1.request(
+                method, target, f"{host.address[0]}:{host.address[1]}"))
+        finally:
+            timer.cancel()
+        self._checkin(host, connection)
+        return answer
+
+    # Probes and load reports.
+
+    def probe(self, name: str) -> None:
+        if name in self.hosts:
+            spawn(self._probe(self.hosts[name]))
+
+    async def _probe(self, host: IssuerHost) -> None:
+        begun, result, load = self.clock.now(), i.CONNECT_FAILED, None
+        try:
+            answer = await self._short_call(host, b"GET", b"/-/load", PROBE_TIME)
+            result = i.OK if answer.status == 200 else i.ERROR
+            load = self._load_text(answer.body.decode("latin-1"))
+        except Broken as e:
+            result = i.RESET if e.sent else i.CONNECT_FAILED
+        finally:
+            self.raise_event(i.ProbeResult(host.name, result, self.clock.now() - begun, load))
+
+    def _load_header(self, answer: http1.Message) -> Load:
+        value = answer.get(b"server-load")
+        return None if value is None else self._load_text(value.decode("latin-1"))
+
+    def _load_text(self, text: str) -> Load:
+        """A report comes as `name=value,name=value`, in a body also as a JSON object."""
+        if text.lstrip().startswith("{"):
+            try:
+                return self._load_of(json.loads(text))
+            except ValueError:
+                return None
+        return self._load_of(dict(part.strip().partition("=")[::2] for part in text.split(",") if "=" in part))
+
+    def _load_of(self, report: Dict[str, Any]) -> Load:
+        if isinstance(report.get("load"), dict):
+            report = report["load"]
+        try:
+            given = {WORDS.get(n, n): float(v) for n, v in report.items()}
+            values = tuple(given[word] for _, word in self.fields)
+        except (KeyError, TypeError, ValueError):
+            return None   # a half report would be read as another one
+        return values if values and all(math.isfinite(v) for v in values) else None
--- /dev/null
+++ b/badgerroad/routing_table.py
@@ -0,0 +1,151 @@
+"""The routing table: discovery's list of issuer hosts, first as last known, then by a watch."""
+
+from __future__ import annotations
+
+import json
+import logging
+import math
+from typing import Any, Callable, Dict, List, Optional, Tuple
+
+from badgerroad import http1
+from badgerroad.connection import Address, Broken, CallConnection, Descriptors, spawn
+from badgerroad.wheel import Wheel
+from heathcrank import interface as i
+
+log = logging.getLogger("badgerroad")
+
+WAIT_MS = 5_000          # how long a watch waits for news: short, as a silent discovery shows only after it
+CALL_TIME = 1_500_000    # beyond its wait, how long a call may take
+STATES = {"ready": i.READY, "draining": i.DRAINING, "gone": i.GONE}
+
+
+class BadList(Exception):
+    """What came is not a list of hosts."""
+
+
+def address_of(text: Any) -> Address:
+    host, colon, port = str(text).rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"not an address: {text!r}")
+    return host, int(port)
+
+
+class Reader:
+    """Discovery's form to the module's: names become places in the lists of the settings."""
+
+    def __init__(self, zones: List[str], kinds: List[str]) -> None:
+        self.zones, self.kinds = list(zones), list(kinds)
+
+    @staticmethod
+    def _place(names: List[str], name: Any) -> int:
+        text = str(name)
+        if text not in names:
+            names.append(text)   # one the settings do not know: a place of its own behind theirs
+        return names.index(text)
+
+    def read(self, data: Any, cached: bool = False) -> Tuple[i.WorkerList, Dict[str, Address]]:
+        try:
+            scope = i.CACHED if cached else i.WHOLE if data["whole"] else i.CHANGES
+            entries, places = [], {}
+            for h in data["hosts"]:
+                name, state = h["host"], STATES[h["health"]]
+                if not isinstance(name, str) or not name:
+                    raise ValueError("a host without a name")
+                weight = float(h.get("share", 1.0))
+                if not math.isfinite(weight):
+                    raise ValueError(f"share of {name}")
+                if state != i.GONE or "dial" in h:
+                    places[name] = address_of(h["dial"])
+                entries.append(i.WorkerInfo(
+                    name, state, int(h.get("born_ms") or 0) * 1000, self._place(self.kinds, h.get("class", "")),
+                    self._place(self.zones, h.get("site", "")), int(h.get("block") or 0), weight))
+            return i.WorkerList(scope, int(data["seq"]), tuple(entries)), places
+        except (KeyError, TypeError, ValueError, AttributeError) as e:
+            raise BadList(f"{type(e).__name__}: {e}") from e
+
+
+class RoutingTable:
+    def __init__(self, wheel: Wheel, descriptors: Descriptors, reader: Reader, address: Address,
+                 news: Callable[[i.WorkerList, Dict[str, Address]], None]) -> None:
+        self.wheel, self.descriptors, self.reader, self.address, self.news = (
+            wheel, descriptors, reader, address, news)
+        self.seq: Optional[int] = None
+        self.heard = False        # discovery has answered or failed once
+        self.listed: Dict[str, str] = {}
+        self._watching = self._wanted = False
+        self._connection: Optional[CallConnection] = None
+
+    def known(self, data: Any) -> None:
+        """The list as this dispatcher last held it; it may be out of date."""
+        self._tell(*self.reader.read(data, cached=True))
+
+    def subscribe(self, on: bool) -> None:
+        self._wanted = on
+        if on and not self._watching:
+            self._watching = True
+            spawn(self._watch())
+
+    def fetch(self) -> None:
+        spawn(self._fetch())
+
+    def close(self) -> None:
+        self._wanted = False
+        if self._connection:
+            self._connection.close()
+
+    def _tell(self, news: i.WorkerList, places: Dict[str, Address]) -> None:
+        if news.scope != i.CHANGES:
+            self.listed = {}
+        for e in news.entries:
+            self.listed[str(e.worker)] = e.state
+        self.listed = {n: s for n, s in self.listed.items() if s != i.GONE}
+        self.news(news, places)
+
+    async def _watch(self) -> None:
+        """The whole list, then one watch after another without a pause: a gap would start a new watch."""
+        target, wait = b"/api/targets", 0
+        try:
+            while self._wanted:
+                news, places = await self._call(target, wait)
+                if news.scope == i.CHANGES and self.seq is not None and news.version < self.seq:
+                    raise BadList(f"version {news.version} after {self.seq}")
+                self.seq, self.heard = news.version, True
+                self._tell(news, places)
+                target, wait = b"/api/targets?index=%d&wait=%d" % (self.seq, WAIT_MS), WAIT_MS * 1000
+        except (Broken, BadList) as e:
+            log.info("discovery: %s", e)
+        finally:
+            # Whatever ended it, the module must hear so, or it would never ask again.
+            self._watching, self.heard = False, True
+            if self._wanted:
+                self.news(i.WorkerList(i.FAILED), {})
+
+    async def _fetch(self) -> None:
+        connection = CallConnection(self.descriptors)
+        try:
+            self._tell(*await self._call(b"/api/targets", 0, connection))
+        except (Broken, BadList) as e:
+            log.info("discovery: %s", e)
+            self.news(i.WorkerList(i.FAILED), {})
+        finally:
+            connection.close()
+
+    async def _call(self, target: bytes, wait: int, connection: Optional[CallConnection] = None
+                    ) -> Tuple[i.WorkerList, Dict[str, Address]]:
+        mine = connection or self._connection
+        if connection is None and (mine is None or not mine.reusable):
+            mine = self._connection = CallConnection(self.descriptors)
+        assert mine is not None
+        timer = self.wheel.after(wait + CALL_TIME, mine.close)
+        try:
+            if not mine.reusable:
+                await mine.connect(self.address)
+            answer = await mine.call(http1.request(b"GET", target, f"{self.address[0]}:{self.address[1]}"))
+        finally:
+            timer.cancel()
+        if answer.status != 200:
+            raise Broken(True, f"status {answer.status}")
+        try:
+            return self.reader.read(json.loads(answer.body))
+        except (ValueError, RecursionError) as e:
+            raise BadList(f"not JSON: {e}") from e
