--- a/badgerroad/acquirer.py
+++ b/badgerroad/acquirer.py
@@ -20,6 +20,7 @@
 log = logging.getLogger("badgerroad")
 
 LINGER = 1_000_000        # how long the rest of a bad request is read and thrown away
+FRESH = 1_000_000         # how long a new connection is waited for
 ACCEPT_PAUSE = 50_000     # how long the listener rests when no descriptor is left
 BATCH = 64                # connections accepted in one go
 CALLBACK_STATES = ("started", "running", "done", "failed", "returned", "lost")
@@ -60,16 +61,21 @@
         super().__init__(sock, side.descriptors, responses=False)
         self.side = side
         self.exchange: Optional[Exchange] = None
+        self.since, self.served = side.wheel.clock.now(), False
         self._closing = False   # after what is being written
 
     @property
     def idle(self) -> bool:
         return self.exchange is None and self.parser.idle and self.written and not self.lingering
 
+    @property
+    def dispensable(self) -> bool:
+        """Idle, and not so fresh that its first request may be on its way: without an answer to go by, its client
+        would take the end for a dispatcher that has died."""
+        return self.idle and (self.served or self.side.wheel.clock.now() - self.since > FRESH)
+
     def wants(self) -> bool:
-        if self.exchange is not None or self._closing:
-            return False
-        return True
+        return self.exchange is None and not self._closing
 
     def advance(self) -> None:
         super().advance()
@@ -104,7 +110,7 @@
         self.side.wheel.after(LINGER, self.close)
 
     def answer(self, status: int, body: bytes, headers: Iterable[Tuple[bytes, bytes]], close: bool) -> None:
-        self.exchange = None
+        self.exchange, self.served = None, True
         self._closing = self._closing or close or self.side.draining
         self.send(http1.response(status, body, headers, close=self._closing))
 
@@ -183,7 +189,7 @@
 
     def shed(self) -> None:
         """Close idle connections. One whose next request has crossed this stays."""
-        for connection in [c for c in self.connections if c.idle]:
+        for connection in [c for c in self.connections if c.dispensable]:
             if not connection.peer_has_spoken():
                 connection.close()
 
--- a/badgerroad/http1.py
+++ b/badgerroad/http1.py
@@ -128,7 +128,8 @@
             if len(words) != 3 or not _TOKEN.match(words[0]) or not _TARGET.match(words[1]):
                 raise BadMessage(400, "the request line is malformed")
             if not _VERSION.match(words[2]):
-                raise BadMessage(505 if words[2].startswith(b"HTTP/") else 400, "the version is not HTTP/1.1")
+                known = re.match(rb"HTTP/\d\.\d\Z", words[2])
+                raise BadMessage(505 if known else 400, "the version is not HTTP/1.1")
             head = Message(words[0], words[1], 0, headers, words[2])
         self._length = self._framing(head)
         self._chunks, self._left = bytearray(), -1
--- /dev/null
+++ b/tests/net.py
@@ -0,0 +1,148 @@
+"""The one helper of the network stories: a dispatcher on loopback, and scripted peers round it."""
+
+import asyncio
+import contextlib
+import functools
+import json
+
+from tornado.ioloop import IOLoop
+
+from badgerroad.config import read
+from badgerroad.dispatcher import Dispatcher
+from badgerroad.wheel import Clock, Wheel
+
+CLASS = {"semantics": "retryable", "goalTimeUs": 4_000_000, "deadlineUs": 6_000_000}
+SETTINGS = {
+    "siblings": 1, "index": 0, "tickUs": 2000, "registryMode": "subscribe", "zones": ["a"], "hostTypes": ["m2"],
+    "requestClasses": [{**CLASS, "name": "preview"},
+                       {**CLASS, "name": "bundle", "semantics": "dedup", "group": "cell", "dedupWindowUs": 5_000_000}],
+    "permissions": {"tryLimit": 4, "secondCopies": True, "cancelling": True, "probes": True, "retryAfter": True,
+                    "maxRetryAfterUs": 2_000_000, "connectTimeoutUs": 500_000, "connIdleUs": 60_000_000},
+    "obligations": {"stopSendingWithinUs": 500_000, "answerSlackUs": 8000, "coldFrom": 0.2, "coldUs": 1,
+                    "fallMultiple": 3, "overloadForUs": 3_000_000},
+    "familyInfo": {"tellsStart": True}, "report": {"names": ["rps", "active", "x0"], "via": "probe"},
+}
+
+
+def host(name, port, health="ready", **over):
+    return {"host": name, "dial": f"127.0.0.1:{port}", "site": "a", "class": "m2", "block": 1, "health": health,
+            "share": 1.0, "born_ms": 0, **over}
+
+
+class Peer:
+    """A scripted server: it keeps what it got; `script` answers each message with bytes, None or silence."""
+
+    def __init__(self, script):
+        self.script, self.got, self.writers, self.ended = script, [], [], asyncio.Event()
+
+    async def open(self):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def _serve(self, reader, writer):
+        self.writers.append(writer)
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head, body = await read_message(reader)
+                self.got.append((head, body))
+                answer = self.script(head, body)
+                answer = await answer if asyncio.iscoroutine(answer) else answer
+                if answer is None:
+                    break   # broken off, without a word
+                writer.write(answer)
+        self.ended.set()
+        writer.close()
+
+
+async def read_message(reader):
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = [ln for ln in head.lower().split(b"\r\n") if ln.startswith(b"content-length:")]
+    return head, await reader.readexactly(int(length[0].split(b":")[1])) if length else b""
+
+
+def reply(status, body=b"", *headers):
+    lines = [b"HTTP/1.1 %d X" % status, b"Content-Length: %d" % len(body), *headers]
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def job(request_id="r1", cls="preview", timeout=5000, body=b"x", *headers):
+    lines = [f"POST /{cls}/7f3a?q=%20 HTTP/1.1", "Host: app.svc", f"Request-Id: {request_id}",
+             f"Request-Class: {cls}", f"Request-Timeout-Ms: {timeout}", f"Content-Length: {len(body)}", *headers]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class World:
+    """A dispatcher with the issuer hosts that `scripts` give, and discovery told of all of them."""
+
+    def __init__(self, *scripts, limits=1024, discovery=None, **settings):
+        self.scripts, self.limits, self.settings = scripts, limits, {**SETTINGS, **settings}
+        self.discovery_script, self.lists = discovery or self.whole_list, asyncio.Queue()
+
+    async def __aenter__(self):
+        self.hosts = [await Peer(functools.partial(script, self)).open() for script in self.scripts]
+        self.discovery = await Peer(self.discovery_script).open()
+        self.entries = [host(f"h{n}", peer.port) for n, peer in enumerate(self.hosts)]
+        data = {"name": "n0", "listen": "127.0.0.1:1", "seed": "1", "limits": {"sockets": self.limits},
+                "discovery": f"127.0.0.1:{self.discovery.port}", "settings": self.settings,
+                "known": {"seq": 1, "whole": True, "hosts": self.entries}}
+        self.dispatcher = Dispatcher(read(data, {})._replace(listen=("127.0.0.1", 0)),
+                                     Wheel(Clock(), IOLoop.current()))
+        self.port = self.dispatcher.start()[1]
+        return self
+
+    async def __aexit__(self, *_):
+        self.dispatcher.close()
+        for peer in [*self.hosts, self.discovery]:
+            peer.server.close()
+            for writer in peer.writers:
+                writer.close()
+
+    async def whole_list(self, head, _body):
+        """The list at once; then one answer for each list that the story puts into `lists`."""
+        if b"index=" in head:
+            return reply(200, json.dumps(await self.lists.get()).encode())
+        return reply(200, json.dumps({"seq": 2, "whole": True, "hosts": self.entries}).encode())
+
+    async def connect(self):
+        return await asyncio.open_connection("127.0.0.1", self.port)
+
+    async def ask(self, data, connection=None):
+        """One request; the answer's status, header and body."""
+        reader, writer = connection or await self.connect()
+        writer.write(data)
+        head, body = await read_message(reader)
+        return int(head.split()[1]), head, body
+
+    async def call_back(self, request_id, state, name="h0", **more):
+        body = json.dumps({"id": request_id, "from": name, "state": state, **more}).encode()
+        return (await self.ask(b"POST /v1/job-events HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body) + body))[0]
+
+    def name_of(self, head):
+        port = int(head.split(b"Host: 127.0.0.1:")[1].split(b"\r\n")[0])
+        return next(e["host"] for e in self.entries if e["dial"].endswith(f":{port}"))
+
+
+async def serve(world, head, _body):
+    """A host that takes each job and has it done at once."""
+    if head.startswith(b"DELETE"):
+        return reply(200)
+    asyncio.ensure_future(world.call_back(id_of(head), "done", world.name_of(head), result="made"))
+    return reply(202)
+
+
+def id_of(head):
+    return head.split(b"Request-Id: ")[1].split(b"\r\n")[0].decode()
+
+
+async def until(condition):
+    while not condition():
+        await asyncio.sleep(0.002)
+
+
+def story(play):
+    """Run a coroutine as a test; a story that hangs fails."""
+    @functools.wraps(play)
+    def test(**arguments):
+        asyncio.run(asyncio.wait_for(play(**arguments), 30))
+    return test
--- /dev/null
+++ b/tests/test_stories.py
@@ -0,0 +1,262 @@
+"""Stories over loopback: a dispatcher between scripted clients, issuer hosts and a discovery."""
+
+import asyncio
+import json
+
+import pytest
+from net import SETTINGS, World, host, id_of, job, read_message, reply, serve, story, until
+
+from heathcrank import interface as i
+
+
+def silent(_world, head, _body):
+    """Takes each job and says nothing more."""
+    return reply(200 if head.startswith(b"DELETE") else 202)
+
+
+async def never(_world, _head, _body):
+    await asyncio.sleep(60)
+
+
+def breaks(_world, _head, _body):
+    return None
+
+
+@story
+async def test_a_job_passes_through_byte_for_byte_and_its_result_comes_back():
+    async with World(serve) as w:
+        body = bytes(range(256)) * 256
+        status, _, answer = await w.ask(job("r1", "bundle", 3000, body, "Idempotency-Key: k  9", "Client-Retry: 1"))
+        head, passed = w.hosts[0].got[0]
+        assert (status, answer, passed) == (200, b"made", body)
+        assert head.startswith(b"POST /bundle/7f3a?q=%20 HTTP/1.1\r\n")
+        assert b"Idempotency-Key: k  9\r\n" in head and b"Client-Retry" not in head
+        left = int(head.split(b"Request-Timeout-Ms: ")[1].split(b"\r\n")[0])
+        assert 0 < left <= 3000
+        assert not w.dispatcher.requests and not w.dispatcher.by_id and not w.dispatcher.issuers.legs
+
+
+@story
+async def test_connections_to_a_host_are_used_again_and_one_it_has_closed_is_not():
+    async with World(serve) as w:
+        client = await w.connect()
+        for n in range(3):
+            assert (await w.ask(job(f"r{n}"), client))[0] == 200
+        assert len(w.hosts[0].writers) == 1
+        w.hosts[0].writers[0].close()
+        assert (await w.ask(job("r9"), client))[0] == 200   # a write to the old one would have been a reset
+        assert len(w.hosts[0].writers) == 2
+
+
+@story
+async def test_a_call_back_before_the_202_counts_once_and_repeats_get_200():
+    async def early(world, head, _body):
+        for state in ("started", "started", "running", "done", "done"):
+            assert await world.call_back(id_of(head), state, share=0.5, result="early") == 200
+        return reply(202)
+    async with World(early) as w:
+        status, _, body = await w.ask(job())
+        assert (status, body) == (200, b"early")
+        assert await w.call_back("r1", "failed") == 200
+        (worker,) = w.dispatcher.decisions.workers.values()
+        assert worker.tally == worker.running == 0
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b"{}", b'{"id":"r1","from":"h0","state":"odd"}',
+                                  b'{"id":1,"from":"h0","state":"done"}', b"[" * 60000])
+@story
+async def test_a_bad_call_back_gets_400(body):
+    async with World(serve) as w:
+        data = b"POST /v1/job-events HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+        assert (await w.ask(data))[0] == 400
+
+
+@pytest.mark.parametrize("script, result", [
+    (breaks, i.RESET),                                                                  # before the 202
+    (lambda *_: reply(500), i.ERROR),
+    (lambda *_: reply(503, b"", b"Not-Started: 1"), i.FULL),
+    (lambda *_: reply(503), i.ERROR),
+    (lambda *_: b"garbage\r\n\r\n", i.RESET),
+])
+@story
+async def test_how_a_host_answers_is_how_the_leg_ends(script, result):
+    async with World(script) as w:
+        ends, handle = [], w.dispatcher.decisions.handle
+        w.dispatcher.decisions.handle = lambda now, e: ends.append(e) or handle(now, e)
+        asyncio.ensure_future(w.ask(job("r1", "bundle")))
+        await until(lambda: any(type(e) is i.Outcome for e in ends))
+        assert next(e.result for e in ends if type(e) is i.Outcome) == result
+
+
+@story
+async def test_a_host_that_refuses_connections_is_passed_over():
+    async with World(serve, serve) as w:
+        w.hosts[0].server.close()
+        assert [(await w.ask(job(f"r{n}")))[0] for n in range(4)] == [200] * 4
+        assert not w.hosts[0].got
+
+
+@story
+async def test_cancel_after_the_202_tells_the_host_and_before_it_closes():
+    async with World(silent, never, permissions={**SETTINGS["permissions"], "tryLimit": 1}) as w:
+        for n in (1, 2):
+            asyncio.ensure_future(w.ask(job(f"r{n}")))
+        hosts = w.hosts
+        await until(lambda: hosts[0].got and hosts[1].got)
+        for request in list(w.dispatcher.requests.values()):
+            leg = request.legs[0]
+            await until(lambda: leg.accepted or leg.worker == "h1")
+            w.dispatcher.issuers.cancel(leg)
+        await until(lambda: len(hosts[0].got) == 2)
+        name = id_of(hosts[0].got[0][0]).encode()
+        assert hosts[0].got[1][0].startswith(b"DELETE /jobs/" + name + b" HTTP/1.1\r\n")
+        assert len(hosts[1].got) == 1 and not w.dispatcher.issuers.legs
+        await until(lambda: w.dispatcher.descriptors.used <= 4)   # the leg's connection to h1 is gone
+
+
+@story
+async def test_a_leg_that_runs_out_of_time_is_given_up_and_the_client_hears_in_time():
+    async with World(silent) as w:
+        begun = asyncio.get_running_loop().time()
+        status, _, _ = await w.ask(job("r1", "bundle", 300))
+        assert status == 504   # it may have run: no refusal
+        assert asyncio.get_running_loop().time() - begun >= 0.2
+        await until(lambda: any(h.startswith(b"DELETE") for h, _ in w.hosts[0].got))
+        await until(lambda: not w.dispatcher.requests)
+
+
+@story
+async def test_a_client_that_leaves_is_owed_nothing():
+    async with World(silent) as w:
+        _, writer = await w.connect()
+        writer.write(job())
+        await until(lambda: w.hosts[0].got)
+        writer.close()
+        await until(lambda: not w.dispatcher.owed)
+        assert await w.call_back("r1", "done", result="x") == 200
+        assert not w.dispatcher.requests
+
+
+@story
+async def test_the_routing_table_follows_discovery_and_garbage_is_a_failure():
+    async def script(head, body):
+        return await w.whole_list(head, body) if len(w.discovery.got) < 4 else reply(200, b"{")
+    w = World(serve, serve, discovery=script)
+    async with w:
+        scopes, handle = [], w.dispatcher.decisions.handle
+        w.dispatcher.decisions.handle = lambda now, e: (
+            scopes.append(e.scope) if type(e) is i.WorkerList else None) or handle(now, e)
+        await until(lambda: scopes == [i.WHOLE])
+        w.lists.put_nowait({"seq": 3, "whole": False, "hosts": [host("h0", w.hosts[0].port, "draining")]})
+        await until(lambda: scopes[1:] == [i.CHANGES])
+        assert (await w.ask(job("r1")))[0] == 200 and not w.hosts[0].got
+        w.lists.put_nowait({"seq": 4, "whole": True, "hosts": [w.entries[0]]})   # h1 is absent: gone
+        await until(lambda: len(scopes) >= 4)
+        assert scopes[2:4] == [i.WHOLE, i.FAILED]
+        assert [x.id for x in w.dispatcher.decisions.fleet] == ["h0"]
+        index = [h.split(b" ")[1].split(b"&")[0] for h, _ in w.discovery.got]
+        assert index[1:4] == [b"/api/targets?index=2", b"/api/targets?index=3", b"/api/targets?index=4"]
+
+
+@pytest.mark.parametrize("data, status", [
+    (b"GET /-/ready HTTP/1.1\r\n\r\n", 200),
+    (b"POST /-/ready HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 405),
+    (b"GET /preview HTTP/1.1\r\n\r\n", 405),
+    (b"POST /unknown HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 404),
+    (b"nonsense\r\n\r\n", 400),
+    (b"POST /preview HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", 413),
+    (b"GET / HTTP/1.1\r\nX: " + b"y" * 20000, 431),
+    (job(timeout="soon"), 400), (job(timeout=0), 400), (job(request_id=""), 400),
+    (job("r1", "preview", 5000, b"x", "Request-Info: slots=none"), 400),
+    (job("r1", "preview", 5000, b"x", "Request-Info: slots=nan"), 400),
+    (job("r1", "preview", 5000, b"x", "Request-Class: bundle"), 400),
+])
+@story
+async def test_bad_input_gets_its_status_and_the_dispatcher_goes_on(data, status):
+    async with World(serve) as w:
+        await until(lambda: w.dispatcher.ready)
+        assert (await w.ask(data))[0] == status
+        assert (await w.ask(job("r2")))[0] == 200
+
+
+@story
+async def test_a_second_request_with_an_open_id_is_not_taken():
+    async with World(silent) as w:
+        asyncio.ensure_future(w.ask(job("r1")))
+        await until(lambda: w.hosts[0].got)
+        assert (await w.ask(job("r1")))[0] == 400
+        assert len(w.dispatcher.requests) == 1
+
+
+@story
+async def test_requests_sent_ahead_are_answered_in_turn():
+    async with World(serve) as w:
+        reader, writer = await w.connect()
+        writer.write(job("r1") + job("r2") + b"GET /-/ready HTTP/1.1\r\nConnection: close\r\n\r\n")
+        heads = [(await read_message(reader))[0] for _ in range(3)]
+        assert [int(h.split()[1]) for h in heads] == [200, 200, 200]
+        assert await reader.read() == b""
+
+
+@story
+async def test_a_drain_answers_what_is_taken_and_what_still_comes():
+    gate = asyncio.Event()
+
+    async def slow(world, head, body):
+        await gate.wait()
+        return await serve(world, head, body)
+    async with World(slow) as w:
+        idle, busy = await w.connect(), asyncio.ensure_future(w.ask(job("r1")))
+        await w.ask(b"GET /-/ready HTTP/1.1\r\n\r\n", idle)
+        await until(lambda: w.hosts[0].got and len(w.dispatcher.acquirers.connections) == 2)
+        w.dispatcher.drain()
+        assert await idle[0].read() == b""   # closed between requests
+        assert (await w.ask(b"GET /-/ready HTTP/1.1\r\n\r\n"))[0] == 503
+        late = asyncio.ensure_future(w.ask(job("r2")))
+        await until(lambda: len(w.dispatcher.requests) == 2)
+        assert w.dispatcher.owed
+        gate.set()
+        for status, head, _ in await asyncio.gather(busy, late):
+            assert status == 200 and b"Connection: close" in head
+        await until(lambda: not w.dispatcher.owed)
+
+
+@story
+async def test_near_the_descriptor_limit_idle_connections_go_and_then_requests_are_declined():
+    async with World(silent, limits=64) as w:
+        idle = [await w.connect() for _ in range(36)]
+        for connection in idle[:35]:   # the fresh one may have a request on its way and stays
+            await w.ask(b"GET /-/ready HTTP/1.1\r\n\r\n", connection)
+        idle.append(await w.connect())
+        await until(lambda: any(reader.at_eof() for reader, _ in idle))
+        answers = []
+        for n in range(60):
+            asyncio.ensure_future(w.ask(job(f"r{n}"))).add_done_callback(lambda f: answers.append(f.result()))
+        await until(lambda: any(status == 503 and b"Retry-After" in head for status, head, _ in answers))
+        assert w.dispatcher.descriptors.used <= w.dispatcher.descriptors.limit and not idle[35][0].at_eof()
+
+
+@story
+async def test_an_exception_in_the_module_is_logged_and_its_request_answered(caplog):
+    async with World(serve) as w:
+        handle = w.dispatcher.decisions.handle
+
+        def broken(now, event):
+            if type(event) is i.Request and event.request == 1:
+                raise RuntimeError("boom")
+            return handle(now, event)
+        w.dispatcher.decisions.handle = broken
+        assert (await w.ask(job("r1")))[0] == 500
+        assert "Traceback" in caplog.text and "boom" in caplog.text
+        assert (await w.ask(job("r2")))[0] == 200
+
+
+@story
+async def test_a_probe_brings_the_load_report_in_the_order_of_the_settings():
+    async with World(lambda *_: reply(200, b"qps=1.5,inflight=3,x0=2,x1=9")) as w:
+        got = []
+        w.dispatcher.issuers.raise_event = got.append
+        w.dispatcher.issuers.probe("h0")
+        await until(lambda: got)
+        assert (got[0].worker, got[0].result, got[0].load) == ("h0", i.OK, (1.5, 3.0, 2.0))
+        assert w.dispatcher.issuers._load_text(json.dumps({"load": {"rps": 1, "active": 2, "x0": 0}})) == (1, 2, 0)
