Answer a job past hope at once, also where it may not be refused

Seen by reading: _place_or_hold held a hopeless job of a class that may not be refused. Checked with the new test: today the release at the end of _outcome still answers it within the same event, so nothing waited in practice; the answer no longer depends on that.

--- a/heathcrank/brain.py
+++ b/heathcrank/brain.py
@@ -275,8 +275,8 @@
             return
         top = max([k.speed() for k in self.kinds.values()] or [1.0])
         job.start_by = job.due - int(job.hint / top)
-        if job.start_by < self.now and self._may_refuse(job):
-            self._answer(job)
+        if job.start_by < self.now:
+            self._answer(job)  # past hope: the client hears at once, a failure where a refusal is not allowed
             return
         job.held = True
         insort(self.held, (job.start_by, job.id, job))
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -276,3 +276,11 @@
 def test_changes_that_come_unprompted_need_no_subscription():
     d = Driver(subscribe=False)
     assert i.Subscribe() not in d.said
+
+
+def test_job_past_hope_that_may_not_be_refused_fails_at_once():
+    d = Driver(workers=2, cls=keyed(i.GROUP_CELL))
+    ((_, w),) = sends(d.ask(1, hint=10 * MS))
+    d.now += 450 * MS   # more than its aim and its work allow
+    assert finals(d.end(1, 0, w, i.ERROR)) == [i.Fail(1)]
+    assert not d.d.held and not d.d.jobs
