Tell a declined client when to come back, from the work this dispatcher has

Seen: Refuse carried no retry_after, so clients repeated at once or after a wait of their own. _advice in brain.py reckons how long this dispatcher's part of the ready workers needs for the hinted work it has, up to max_retry_after; the dispatcher sends it as Retry-After.

--- a/heathcrank/brain.py
+++ b/heathcrank/brain.py
@@ -212,9 +212,19 @@
 
     def _answer(self, job: Job) -> None:
         if not job.done:
-            self.out.append(i.Refuse(job.id) if self._may_refuse(job) else i.Fail(job.id))
+            self.out.append(i.Refuse(job.id, self._advice()) if self._may_refuse(job) else i.Fail(job.id))
             self._finish(job)
 
+    def _advice(self) -> int:
+        """When a refused client should come back: once this dispatcher's part of the ready workers is through
+        with the hinted work that it has here, as fast as they have been of late."""
+        s = self.settings
+        if not s.retry_after:
+            return 0
+        work = sum(job.hint for job in self.jobs.values() if not job.done)
+        pace = sum(w.kind.slots * self._speed(w) for w in self.fleet) / s.dispatchers
+        return int(min(max(work / pace, s.tick), s.max_retry_after)) if pace else s.max_retry_after
+
     def _finish(self, job: Job) -> None:
         job.done = True
         if job.held:
--- a/heathcrank/interface.py
+++ b/heathcrank/interface.py
@@ -68,11 +68,11 @@
     over_quota_worth: float = 1.0
     cross_zone_cost: float = 0.0
     report_names: Tuple[str, ...] = ()  # the values of a load report, in order; "x0": free slots
+    retry_after: bool = False  # a refusal may say when to come back,
+    max_retry_after: int = 0   # at most after this
     # What a deployment tells beyond that, for other decision modules; brain.py does without.
     stop_within: int = 0     # grace for sends to a worker known to drain or be gone
     answer_slack: int = 0
-    max_retry_after: int = 0
-    retry_after: bool = False
     progress_every: int = 0
     worth_by_work: bool = False
     connect_timeout: int = 0
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -284,3 +284,15 @@
     d.now += 450 * MS   # more than its aim and its work allow
     assert finals(d.end(1, 0, w, i.ERROR)) == [i.Fail(1)]
     assert not d.d.held and not d.d.jobs
+
+
+def test_a_refusal_says_when_to_come_back_where_the_settings_allow_it():
+    def advice(workers, max_retry_after=2 * SEC, **over):
+        d = Driver(workers=workers, cls=SAFE, max_retry_after=max_retry_after, **over)
+        for n in range(9):
+            d.ask(n, hint=300 * MS)   # 3 or 1 each; none of them starts
+        return finals(d.later(900 * MS) + d.ask(99, hint=300 * MS, left=100 * MS))[0].retry_after
+    assert advice(3) == 0
+    few, many = advice(1, retry_after=True), advice(3, retry_after=True)
+    assert 0 < many < few <= 2 * SEC
+    assert advice(0, retry_after=True) == 2 * SEC and advice(1, MS, retry_after=True) == MS
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -260,3 +260,11 @@
         await until(lambda: got)
         assert (got[0].worker, got[0].result, got[0].load) == ("h0", i.OK, (1.5, 3.0, 2.0))
         assert w.dispatcher.issuers._load_text(json.dumps({"load": {"rps": 1, "active": 2, "x0": 0}})) == (1, 2, 0)
+
+
+@story
+async def test_a_decline_tells_the_client_when_to_come_back():
+    classes = [{**SETTINGS["requestClasses"][0], "goalTimeUs": 1000}]
+    async with World(requestClasses=classes) as w:   # no host at all: nothing can be in time
+        status, head, _ = await w.ask(job())
+        assert status == 503 and b"Retry-After: 2.000\r\n" in head
