Leave workers that are shunned out of the advice on declines

Seen: with the example's only host stopped, the decline said Retry-After 0.002. Checked: the leg had failed to connect, the job had no hint, and _advice summed the hints of 0 over a worker that _is_open left alone. Ruled out the transport: the header carried what the module gave. Now unhinted jobs count as mean ones, workers left alone do not count, and the least is RECHECK.

--- a/heathcrank/brain.py
+++ b/heathcrank/brain.py
@@ -216,14 +216,15 @@
             self._finish(job)
 
     def _advice(self) -> int:
-        """When a refused client should come back: once this dispatcher's part of the ready workers is through
-        with the hinted work that it has here, as fast as they have been of late."""
-        s = self.settings
+        """When a refused client should come back: once this dispatcher's part of the workers that may be sent to
+        is through with the work it has here, as fast as they have been of late; not before the next look."""
+        s, now = self.settings, self.now
         if not s.retry_after:
             return 0
-        work = sum(job.hint for job in self.jobs.values() if not job.done)
-        pace = sum(w.kind.slots * self._speed(w) for w in self.fleet) / s.dispatchers
-        return int(min(max(work / pace, s.tick), s.max_retry_after)) if pace else s.max_retry_after
+        work = sum(max(job.hint, self.mean) for job in self.jobs.values() if not job.done)
+        pace = sum(w.kind.slots * self._speed(w) for w in self.fleet if w.until <= now) / s.dispatchers
+        rested = min((w.until - now for w in self.fleet), default=s.max_retry_after)  # of those left alone
+        return int(min(max(work / pace if pace else rested, RECHECK), s.max_retry_after))
 
     def _finish(self, job: Job) -> None:
         job.done = True
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -296,3 +296,10 @@
     few, many = advice(1, retry_after=True), advice(3, retry_after=True)
     assert 0 < many < few <= 2 * SEC
     assert advice(0, retry_after=True) == 2 * SEC and advice(1, MS, retry_after=True) == MS
+
+
+def test_a_refusal_does_not_call_a_client_back_to_workers_that_are_left_alone():
+    d = Driver(workers=1, cls=SAFE, retry_after=True, max_retry_after=2 * SEC)
+    d.ask(1, hint=0)
+    d.end(1, 0, "w0", i.CONNECT_FAILED)
+    assert finals(d.feed(i.Request(2, time_left=MS)) + d.later(MS))[0].retry_after >= 50 * MS
