--- a/heathcrank/brain.py
+++ b/heathcrank/brain.py
@@ -457,4 +457,7 @@
         """The client left, or a stream has started and is the client's: nothing more is owed."""
         job = self.jobs.get(e.request)
         if job:
+            if self.settings.can_cancel and type(e) is i.ClientGone:
+                # Nobody waits for what is out: its slots serve others.
+                self.out += [i.Cancel(job.id, n) for n, a in enumerate(job.attempts) if a.open]
             self._finish(job)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -303,3 +303,12 @@
     d.ask(1, hint=0)
     d.end(1, 0, "w0", i.CONNECT_FAILED)
     assert finals(d.feed(i.Request(2, time_left=MS)) + d.later(MS))[0].retry_after >= 50 * MS
+
+
+def test_what_a_client_has_left_behind_is_cancelled_where_that_is_allowed():
+    for allowed in (True, False):
+        d = Driver(workers=1, can_cancel=allowed)
+        d.ask(1)
+        assert d.feed(i.ClientGone(1)) == ([i.Cancel(1, 0)] if allowed else [])
+        d.end(1, 0, "w0", i.CANCELLED, finished=True)
+        assert not d.d.jobs and d.d.workers["w0"].tally == 0
