Give up requests that stop halfway; stricter headers; stories keep their clients

Seen: reading for what holds a drain: a client that stops halfway through a request counted as owed for good, so the program would leave only by SIGKILL. Now it gets 408 after 10 s without a byte. Request-Id becomes part of a path on a cancel, so only characters that are plain there are taken; a keyed request without Idempotency-Key is 400, as no host could drop its repeat.

Seen: five stories failed now and then, logs said 'the client has left'. Checked: unchanged code failed too; a client task nobody referred to was collected and its connection closed. World.begin keeps them.

--- a/badgerroad/acquirer.py
+++ b/badgerroad/acquirer.py
@@ -20,6 +20,7 @@
 log = logging.getLogger("badgerroad")
 
 LINGER = 1_000_000        # how long the rest of a bad request is read and thrown away
+READ_TIME = 10_000_000    # how long a request may stand still halfway
 FRESH = 1_000_000         # how long a new connection is waited for
 ACCEPT_PAUSE = 50_000     # how long the listener rests when no descriptor is left
 BATCH = 64                # connections accepted in one go
@@ -61,7 +62,8 @@
         super().__init__(sock, side.descriptors, responses=False)
         self.side = side
         self.exchange: Optional[Exchange] = None
-        self.since, self.served = side.wheel.clock.now(), False
+        self.since, self.served = side.wheel.clock.now(), False   # since when nothing has come
+        self._patience = side.wheel.after(READ_TIME, self._check)
         self._closing = False   # after what is being written
 
     @property
@@ -78,6 +80,7 @@
         return self.exchange is None and not self._closing
 
     def advance(self) -> None:
+        self.since = self.side.wheel.clock.now()
         super().advance()
         head = self.parser.head
         if (head is not None and self.exchange is None and not self.expected
@@ -87,6 +90,15 @@
 
     expected = False   # the client was told to go on
 
+    def _check(self) -> None:
+        """A request that stops halfway must not hold a descriptor, or the end of a drain, for good."""
+        waited = self.side.wheel.clock.now() - self.since
+        halfway = self.exchange is None and not self.parser.idle and not self.lingering
+        if halfway and waited >= READ_TIME:
+            self.on_bad(http1.BadMessage(408, "the request stopped halfway"))
+        self._patience = self.side.wheel.after(READ_TIME - waited if halfway and waited < READ_TIME else READ_TIME,
+                                               self._check)
+
     def on_message(self, message: http1.Message) -> None:
         self.expected = False
         exchange = self.exchange = Exchange(self)
@@ -98,8 +110,6 @@
             exchange.answer(500, b"internal error\n")
 
     def on_bad(self, error: http1.BadMessage) -> None:
-        if self.exchange is not None:
-            return   # behind a request that is still open: that one's answer comes first, then the end
         self._closing = True
         self.send(http1.response(error.status, str(error).encode() + b"\n", close=True))
         self.linger()
@@ -134,6 +144,7 @@
 
     def on_closed(self) -> None:
         exchange, self.exchange = self.exchange, None
+        self._patience.cancel()
         self.side.connections.discard(self)
         if exchange is not None and not exchange.answered:
             exchange.answered = True
--- a/badgerroad/dispatcher.py
+++ b/badgerroad/dispatcher.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+import re
 from collections import deque
 from hashlib import blake2b
 from typing import Any, Callable, Deque, Dict, List, Optional
@@ -28,6 +29,8 @@
     b"host", b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
     b"upgrade", b"expect", b"content-length", b"request-timeout-ms", b"client-retry"))
 LONGEST_WAIT = 3_600_000
+# It becomes part of a path when a leg is cancelled. A comma would be two headers of that name.
+REQUEST_ID = re.compile(rb"[A-Za-z0-9._~:@!$&'()*+;=-]{1,128}\Z")
 
 
 class BadRequest(Exception):
@@ -225,7 +228,7 @@
             text = message.get(name)
             if text is None and default is not None:
                 return default
-            if text is None or not text.isdigit() or not least <= int(text[:15]) <= most:
+            if text is None or not text.isdigit() or len(text) > 15 or not least <= int(text) <= most:
                 raise BadRequest(f"{name.decode()} is missing or malformed")
             return int(text)
 
@@ -233,10 +236,14 @@
         class_name, request_id = message.get(b"request-class"), message.get(b"request-id") or b""
         if class_name is not None and class_name != parts[1]:
             raise BadRequest("request-class is not that of the path")
-        if not request_id or len(request_id) > 128 or not request_id.isascii() or b"/" in request_id:
+        if not REQUEST_ID.match(request_id):
             raise BadRequest("request-id is missing or malformed")
         if request_id in self.by_id:
             raise BadRequest("request-id is that of an open request")
+        index = self.classes[parts[1]]
+        if self.settings.classes[index].semantics == i.KEYED and not message.get(b"idempotency-key"):
+            # Without it no host could drop a repeat, and the module repeats because hosts do.
+            raise BadRequest("idempotency-key is missing")
         extras = {}
         for part in (message.get(b"request-info") or b"").split(b","):
             name, equals, value = part.strip().partition(b"=")
@@ -253,7 +260,7 @@
             raise BadRequest("tenant is missing or unknown")
         key = int.from_bytes(blake2b(parts[-1], digest_size=8).digest(), "big") if len(parts) > 2 else 0
         return i.Request(
-            number, self.classes[parts[1]], self.tenants.get(message.get(b"tenant") or b"", 0), key,
+            number, index, self.tenants.get(message.get(b"tenant") or b"", 0), key,
             number_of(b"request-timeout-ms", 1, LONGEST_WAIT, None) * 1000, number_of(b"work-hint", 0, 10**12, 0),
             slots, memory, message.get(b"client-retry") == b"1"), request_id
 
--- a/badgerroad/http1.py
+++ b/badgerroad/http1.py
@@ -15,7 +15,8 @@
 BODY_LIMIT = 64 * 1024
 RING_LIMIT = HEADER_LIMIT + BODY_LIMIT
 REASONS = {100: "Continue", 200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found",
-           405: "Method Not Allowed", 413: "Content Too Large", 431: "Request Header Fields Too Large",
+           405: "Method Not Allowed", 408: "Request Timeout", 413: "Content Too Large",
+           431: "Request Header Fields Too Large",
            500: "Internal Server Error", 502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
            505: "HTTP Version Not Supported"}
 
--- a/tests/net.py
+++ b/tests/net.py
@@ -69,6 +69,8 @@
 def job(request_id="r1", cls="preview", timeout=5000, body=b"x", *headers):
     lines = [f"POST /{cls}/7f3a?q=%20 HTTP/1.1", "Host: app.svc", f"Request-Id: {request_id}",
              f"Request-Class: {cls}", f"Request-Timeout-Ms: {timeout}", f"Content-Length: {len(body)}", *headers]
+    if cls == "bundle" and not headers:
+        lines.append("Idempotency-Key: k9")
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
@@ -78,6 +80,7 @@
     def __init__(self, *scripts, limits=1024, discovery=None, **settings):
         self.scripts, self.limits, self.settings = scripts, limits, {**SETTINGS, **settings}
         self.discovery_script, self.lists = discovery or self.whole_list, asyncio.Queue()
+        self.tasks = []
 
     async def __aenter__(self):
         self.hosts = [await Peer(functools.partial(script, self)).open() for script in self.scripts]
@@ -93,6 +96,9 @@
 
     async def __aexit__(self, *_):
         self.dispatcher.close()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
         for peer in [*self.hosts, self.discovery]:
             peer.server.close()
             for writer in peer.writers:
@@ -104,6 +110,11 @@
             return reply(200, json.dumps(await self.lists.get()).encode())
         return reply(200, json.dumps({"seq": 2, "whole": True, "hosts": self.entries}).encode())
 
+    def begin(self, coroutine):
+        """Play it beside the story. The loop would not keep it: it could be collected, and its connection closed."""
+        self.tasks.append(asyncio.ensure_future(coroutine))
+        return self.tasks[-1]
+
     async def connect(self):
         return await asyncio.open_connection("127.0.0.1", self.port)
 
@@ -127,7 +138,7 @@
     """A host that takes each job and has it done at once."""
     if head.startswith(b"DELETE"):
         return reply(200)
-    asyncio.ensure_future(world.call_back(id_of(head), "done", world.name_of(head), result="made"))
+    world.begin(world.call_back(id_of(head), "done", world.name_of(head), result="made"))
     return reply(202)
 
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -1,11 +1,15 @@
 """Stories over loopback: a dispatcher between scripted clients, issuer hosts and a discovery."""
 
 import asyncio
+import contextlib
 import json
+import os
+import sys
 
 import pytest
 from net import SETTINGS, World, host, id_of, job, read_message, reply, serve, story, until
 
+from badgerroad import acquirer
 from heathcrank import interface as i
 
 
@@ -83,7 +87,7 @@
     async with World(script) as w:
         ends, handle = [], w.dispatcher.decisions.handle
         w.dispatcher.decisions.handle = lambda now, e: ends.append(e) or handle(now, e)
-        asyncio.ensure_future(w.ask(job("r1", "bundle")))
+        w.begin(w.ask(job("r1", "bundle")))
         await until(lambda: any(type(e) is i.Outcome for e in ends))
         assert next(e.result for e in ends if type(e) is i.Outcome) == result
 
@@ -100,7 +104,7 @@
 async def test_cancel_after_the_202_tells_the_host_and_before_it_closes():
     async with World(silent, never, permissions={**SETTINGS["permissions"], "tryLimit": 1}) as w:
         for n in (1, 2):
-            asyncio.ensure_future(w.ask(job(f"r{n}")))
+            w.begin(w.ask(job(f"r{n}")))
         hosts = w.hosts
         await until(lambda: hosts[0].got and hosts[1].got)
         for request in list(w.dispatcher.requests.values()):
@@ -170,6 +174,8 @@
     (job("r1", "preview", 5000, b"x", "Request-Info: slots=none"), 400),
     (job("r1", "preview", 5000, b"x", "Request-Info: slots=nan"), 400),
     (job("r1", "preview", 5000, b"x", "Request-Class: bundle"), 400),
+    (job("r1", "preview", 5000, b"x", "Request-Id: r3"), 400), (job("../r1"), 400), (job(timeout=10**18), 400),
+    (job("r1", "bundle", 5000, b"x", "X-No-Key: y"), 400),
 ])
 @story
 async def test_bad_input_gets_its_status_and_the_dispatcher_goes_on(data, status):
@@ -182,7 +188,7 @@
 @story
 async def test_a_second_request_with_an_open_id_is_not_taken():
     async with World(silent) as w:
-        asyncio.ensure_future(w.ask(job("r1")))
+        w.begin(w.ask(job("r1")))
         await until(lambda: w.hosts[0].got)
         assert (await w.ask(job("r1")))[0] == 400
         assert len(w.dispatcher.requests) == 1
@@ -198,6 +204,51 @@
         assert await reader.read() == b""
 
 
+@story
+async def test_a_client_that_asks_before_it_sends_its_body_is_told_to_go_on():
+    async with World(serve) as w:
+        reader, writer = await w.connect()
+        head, _, body = job("r1", "preview", 5000, b"late", "Expect: 100-continue").partition(b"late")
+        writer.write(head)
+        assert (await read_message(reader))[0].startswith(b"HTTP/1.1 100 ")
+        assert (await w.ask(b"late", (reader, writer)))[0] == 200
+        assert w.hosts[0].got[0][1] == b"late"
+
+
+@story
+async def test_a_request_that_stops_halfway_is_given_up(monkeypatch):
+    monkeypatch.setattr(acquirer, "READ_TIME", 50_000)
+    async with World(serve) as w:
+        reader, writer = await w.connect()
+        writer.write(job()[:40])
+        assert (await read_message(reader))[0].startswith(b"HTTP/1.1 408 ")
+        await until(lambda: not w.dispatcher.owed)
+        assert await reader.read() == b""
+
+
+@story
+async def test_the_program_serves_and_leaves_on_sigterm_with_all_answered(tmp_path):
+    async with World(serve) as w:
+        listen = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+        w.port = listen.sockets[0].getsockname()[1]   # free again, and call-backs go to the program
+        listen.close()
+        config = tmp_path / "config.json"
+        config.write_text(json.dumps({
+            "name": "n1", "listen": f"127.0.0.1:{w.port}", "discovery": f"127.0.0.1:{w.discovery.port}",
+            "seed": "2", "settings": SETTINGS}))
+        program = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "badgerroad", "serve", env={**os.environ, "PROXY_CONFIG": str(config)})
+        while True:
+            with contextlib.suppress(OSError):
+                if (await w.ask(b"GET /-/ready HTTP/1.1\r\n\r\n"))[0] == 200:
+                    break
+            await asyncio.sleep(0.02)
+        answer = w.begin(w.ask(job()))
+        await until(lambda: w.hosts[0].got)
+        program.terminate()
+        assert (await answer)[0] == 200 and await program.wait() == 0
+
+
 @story
 async def test_a_drain_answers_what_is_taken_and_what_still_comes():
     gate = asyncio.Event()
@@ -206,13 +257,13 @@
         await gate.wait()
         return await serve(world, head, body)
     async with World(slow) as w:
-        idle, busy = await w.connect(), asyncio.ensure_future(w.ask(job("r1")))
+        idle, busy = await w.connect(), w.begin(w.ask(job("r1")))
         await w.ask(b"GET /-/ready HTTP/1.1\r\n\r\n", idle)
         await until(lambda: w.hosts[0].got and len(w.dispatcher.acquirers.connections) == 2)
         w.dispatcher.drain()
         assert await idle[0].read() == b""   # closed between requests
         assert (await w.ask(b"GET /-/ready HTTP/1.1\r\n\r\n"))[0] == 503
-        late = asyncio.ensure_future(w.ask(job("r2")))
+        late = w.begin(w.ask(job("r2")))
         await until(lambda: len(w.dispatcher.requests) == 2)
         assert w.dispatcher.owed
         gate.set()
@@ -231,7 +282,7 @@
         await until(lambda: any(reader.at_eof() for reader, _ in idle))
         answers = []
         for n in range(60):
-            asyncio.ensure_future(w.ask(job(f"r{n}"))).add_done_callback(lambda f: answers.append(f.result()))
+            w.begin(w.ask(job(f"r{n}"))).add_done_callback(lambda f: answers.append(f.result()))
         await until(lambda: any(status == 503 and b"Retry-After" in head for status, head, _ in answers))
         assert w.dispatcher.descriptors.used <= w.dispatcher.descriptors.limit and not idle[35][0].at_eof()
 
