Share the settings decoder as a module of its own, naming the field that is wrong

Seen: a setting that is no number was reported as 'invalid literal', without its name, and the program imported the simulator's adapter for the decoder. heathcrank/settings.py now serves both.

--- a/badgerroad/config.py
+++ b/badgerroad/config.py
@@ -10,7 +10,7 @@
 from badgerroad.connection import Address
 from badgerroad.routing_table import BadList, Reader, address_of
 from heathcrank import interface as i
-from heathcrank.drill import BadInput, settings_from
+from heathcrank.settings import BadInput, settings_from
 
 
 class BadConfig(Exception):
@@ -76,7 +76,7 @@
     try:
         settings = settings_from(json.dumps(data["settings"]).encode())
     except BadInput as e:
-        raise BadConfig(f"settings: {e}") from e
+        raise BadConfig(str(e)) from e
     zones, kinds = names("zones"), names("hostTypes")
     known = {"seq": 0, "whole": True, "hosts": []} if known is None else known
     try:
--- a/heathcrank/drill.py
+++ b/heathcrank/drill.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import gc
-import json
 import sys
 from struct import Struct
-from typing import Any, BinaryIO, Callable, Dict, List, Tuple
+from typing import BinaryIO, Callable, Dict, List, Tuple
 
 from heathcrank import interface as i
 from heathcrank.brain import Dispatcher
+from heathcrank.settings import BadInput, settings_from
 
 EVENT, ACTION, ENTRY = 48, 24, 25
 HEAD, REPLY, ROW = Struct("<IIIQ"), Struct("<III"), Struct("<Q6sBHHHf")
@@ -24,65 +24,13 @@
            250: i.CANCELLED, 249: i.MOOT}
 STATES = {3: i.READY, 2: i.DRAINING, 0: i.GONE}
 SCOPES = {0: i.CHANGES, 1: i.WHOLE, 2: i.CACHED, 3: i.FAILED}
-SEMANTICS = {"retryable": i.SAFE, "dedup": i.KEYED, "fragile": i.UNSAFE}
 MOST_TIMER = 70 * 60 * 1_000_000
 
 
-class BadInput(Exception):
-    """A frame that does not follow the wire; its text goes to standard error."""
-
-
 class Fault(Exception):
     """The decisions broke; the instance and the text go out as a fault."""
 
 
-def settings_from(text: bytes) -> i.Settings:
-    try:
-        return _settings(json.loads(text))
-    except KeyError as e:
-        raise BadInput(f"settings lack the key {e.args[0]!r}") from e
-    except (ValueError, TypeError, AttributeError) as e:
-        raise BadInput(f"settings cannot be read: {e}") from e
-
-
-def _settings(d: Dict[str, Any]) -> i.Settings:
-    family, allow, rules = d.get("familyInfo") or {}, d["permissions"], d["obligations"]
-    costs, report = d.get("deductions") or {}, d.get("report") or {}
-
-    def per_class(name: str, n: int, default: float) -> Any:
-        values = family.get(name) or []
-        return values[n] if n < len(values) else default
-
-    classes = tuple(i.RequestClass(
-        name=str(c.get("name", n)), semantics=SEMANTICS[c["semantics"]], aim=int(c["goalTimeUs"]),
-        deadline=int(c["deadlineUs"]),
-        stretch=float(c.get("aimStretch") or per_class("classStretch", n, 0.0)),
-        group=c.get("group") or i.GROUP_ALL, window=int(c.get("dedupWindowUs") or 0),
-        worth=float(c.get("worth", 1.0)), late_worth=float(c.get("lateWorth") or 0.0),
-        stream=bool(c.get("stream")), kind=int(per_class("classKind", n, -1)),
-    ) for n, c in enumerate(d["requestClasses"]))
-    tenants = tuple(i.Tenant(str(t.get("name", n)), float(t.get("quotaPerS") or 0.0),
-                             float(t.get("share") or 0.0)) for n, t in enumerate(d.get("accounts") or []))
-    settings = i.Settings(
-        classes=classes, tenants=tenants, dispatchers=int(d["siblings"]), number=int(d.get("index", 0)),
-        zone=int(d.get("zone", 0)), tick=int(d["tickUs"]), max_attempts=int(allow["tryLimit"]),
-        second_copies=bool(allow.get("secondCopies")), can_cancel=bool(allow.get("cancelling")),
-        can_probe=bool(allow.get("probes")), subscribe=d.get("registryMode") != "automatic",
-        ask_within=int(rules.get("askWithinUs") or 10_000_000), stop_within=int(rules["stopSendingWithinUs"]),
-        answer_slack=int(rules["answerSlackUs"]),
-        cold_from=float(rules["coldFrom"]), cold_for=int(rules["coldUs"]),
-        fall_multiple=float(rules["fallMultiple"]), overload_for=int(rules["overloadForUs"]),
-        max_retry_after=int(allow.get("maxRetryAfterUs") or 0), retry_after=bool(allow.get("retryAfter")),
-        tells_start=bool(family.get("tellsStart")), progress_every=int(family.get("progressUs") or 0),
-        over_quota_worth=float(d.get("overShareWorth", 1.0)), worth_by_work=d.get("worthBy") == "work",
-        connect_timeout=int(allow.get("connectTimeoutUs") or 0),
-        connection_idle=int(allow.get("connIdleUs") or 0),
-        cross_zone_cost=float(costs.get("crossZone") or 0.0), waste_cost=float(costs.get("waste") or 0.0),
-        late_fail_cost=float(costs.get("lateFail") or 0.0), report_names=tuple(report.get("names") or ()))
-    settings.check()
-    return settings
-
-
 def pack(actions: List[i.Action], tail: bytearray) -> List[bytes]:
     """One instance's actions as records; their texts go to the tail."""
     out: List[bytes] = []
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -140,6 +140,8 @@
     ({**GOOD, "limits": {"sockets": "many"}}, "limits.sockets"),
     ({**GOOD, "settings": {**SETTINGS, "siblings": 0}}, "dispatchers"),
     ({**GOOD, "settings": {**SETTINGS, "zones": 3}}, "settings.zones"),
+    ({**GOOD, "settings": {**SETTINGS, "tickUs": "soon"}}, "tickUs"),
+    ({**GOOD, "settings": {**SETTINGS, "permissions": {}}}, "tryLimit"),
     ({**GOOD, "known": {"hosts": []}}, "known"),
 ])
 def test_bad_configuration_is_one_line_that_names_the_field(tmp_path, config, field):
