--- a/heathcrank/brain.py
+++ b/heathcrank/brain.py
@@ -353,7 +353,7 @@
             # Where crossing zones has a price, it weighs as part of an own job: near-idle picks stay at home.
             away = 0.3 if self.settings.cross_zone_cost and w.info.zone != self.settings.zone else 0.0
             if self.few:
-                rank = (w.tally + away) / w.kind.slots + 0.2 / speed, 0.0  # among near equals the faster one
+                rank = (w.tally + away) / w.kind.slots + 0.05 / speed, 0.0  # among near equals the faster one
             else:
                 # Own tallies are nearly all 0: what was heard of others' jobs settles it. Learned pace would
                 # not do: the best by it are the same few workers for everybody.
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -312,3 +312,15 @@
         assert d.feed(i.ClientGone(1)) == ([i.Cancel(1, 0)] if allowed else [])
         d.end(1, 0, "w0", i.CANCELLED, finished=True)
         assert not d.d.jobs and d.d.workers["w0"].tally == 0
+
+
+def test_own_load_settles_the_pick_and_pace_only_among_near_equals():
+    def pick(own):
+        d = Driver(infos=(i.WorkerInfo("fast", kind=0), i.WorkerInfo("slow", kind=1)))
+        for n, pace in enumerate((1.0, 0.4)):
+            kind = d.d.kinds[n]
+            kind.slots, kind.work, kind.took = 4.0, pace * SEC, SEC
+        d.d.workers["fast"].tally = d.d.workers["fast"].running = own
+        return sends(d.ask(1, hint=10 * MS))[0][1]
+    assert pick(own=0.0) == "fast"
+    assert pick(own=1.0) == "slow"
