Ignore call-backs for a leg that has not been written yet

Seen by reading: call-backs name the request and the host only, so a repeat of an ended leg's call-back would have ended the next leg at the same host while it still waited for the DELETE to be answered. Checked with a story that fails without the guard in Issuers.called_back. One that comes after the new leg is written still cannot be told from its own.

--- a/badgerroad/issuer.py
+++ b/badgerroad/issuer.py
@@ -41,12 +41,12 @@
 
 
 class Leg:
-    __slots__ = ("request", "number", "order", "worker", "sent", "started", "accepted", "over", "host", "timer",
-                 "connection")
+    __slots__ = ("request", "number", "order", "worker", "sent", "asked", "started", "accepted", "over", "host",
+                 "timer", "connection")
 
     def __init__(self, request: int, number: int, order: Order, worker: str, now: int) -> None:
         self.request, self.number, self.order, self.worker, self.sent = request, number, order, worker, now
-        self.started = self.accepted = self.over = False
+        self.asked = self.started = self.accepted = self.over = False
         self.host: Optional[IssuerHost] = None
         self.timer: Optional[Timer] = None
         self.connection: Optional[CallConnection] = None   # while the answer to the request is awaited
@@ -122,6 +122,7 @@
         left = max((until - self.clock.now()) // 1000, 1)
         data = http1.request(order.method, order.target, f"{host.address[0]}:{host.address[1]}",
                              [*order.headers, (b"Request-Timeout-Ms", b"%d" % left)], order.body)
+        leg.asked = True
         answer = await connection.call(data)
         self._checkin(host, connection)
         if answer.status == 202:
@@ -167,8 +168,8 @@
 
     def called_back(self, request_id: bytes, name: str, state: str, item: Dict[str, Any]) -> None:
         leg = self.legs.get((request_id, name))
-        if leg is None:
-            return   # told twice, or of a leg that was given up
+        if leg is None or not leg.asked:
+            return   # told twice, or of a leg that is over; one not written yet cannot be meant either
         if state == "started":
             if not leg.started:
                 leg.started = True
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -118,6 +118,26 @@
         await until(lambda: w.dispatcher.descriptors.used <= 4)   # the leg's connection to h1 is gone
 
 
+@story
+async def test_a_late_call_back_of_a_cancelled_leg_does_not_end_the_next_one_there():
+    gate = asyncio.Event()
+
+    async def script(_world, head, _body):
+        if head.startswith(b"DELETE"):
+            await gate.wait()
+        return reply(200 if head.startswith(b"DELETE") else 202)
+    async with World(script) as w:
+        answer = w.begin(w.ask(job()))
+        await until(lambda: w.dispatcher.requests and w.dispatcher.requests[1].legs[0].accepted)
+        w.dispatcher.issuers.cancel(w.dispatcher.requests[1].legs[0])
+        w.dispatcher._send(i.Send(1, "h0"))   # waits until the host has answered the cancel
+        assert await w.call_back("r1", "done", result="of the first") == 200
+        gate.set()
+        await until(lambda: w.dispatcher.requests[1].legs[1].accepted)
+        assert await w.call_back("r1", "done", result="of the second") == 200
+        assert (await answer)[2] == b"of the second"
+
+
 @story
 async def test_a_leg_that_runs_out_of_time_is_given_up_and_the_client_hears_in_time():
     async with World(silent) as w:
