--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -9,7 +9,7 @@
 import pytest
 from net import SETTINGS, World, host, id_of, job, read_message, reply, serve, story, until
 
-from badgerroad import acquirer
+from badgerroad import acquirer, routing_table
 from heathcrank import interface as i
 
 
@@ -182,6 +182,16 @@
         assert index[1:4] == [b"/api/targets?index=2", b"/api/targets?index=3", b"/api/targets?index=4"]
 
 
+@story
+async def test_a_silent_discovery_is_a_failure_and_the_known_hosts_serve_on(monkeypatch):
+    monkeypatch.setattr(routing_table, "CALL_TIME", 50_000)
+    async with World(serve, discovery=lambda _head, _body: never(None, None, None)) as w:
+        assert not w.dispatcher.ready
+        await until(lambda: w.dispatcher.ready)
+        assert w.dispatcher.decisions.ask_at and not w.dispatcher.decisions.subscribed
+        assert (await w.ask(job()))[0] == 200
+
+
 @pytest.mark.parametrize("data, status", [
     (b"GET /-/ready HTTP/1.1\r\n\r\n", 200),
     (b"POST /-/ready HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 405),
