SIGHUP rereads the configuration and moves discovery without a failure told

Checked: a plain reload would have kept the old address, as config.read lets PROXY_DISCOVERY win over the file; config.reload leaves that variable out. The old call's end went the way of any failure (FAILED, then the module's pause, up to 10 s once discovery has failed for a while), past the 4 s after which news counts as told; the watch now goes on at the new address with the whole list, and asks again every 250 ms for 3 s before it tells a failure. The old connection is closed at once, well before discovery closes it. Signals are blocked before the loop ends: with them unblocked, a SIGHUP during the exit ended the program with -1 in the story.

Lines: cli.serve (handlers), config.load, routing_table._watch.

--- a/badgerroad/cli.py
+++ b/badgerroad/cli.py
@@ -16,7 +16,7 @@
   -h --help     Show this text.
 
 The configuration comes from PROXY_CONFIG, a JSON file; PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY override its
-fields name, listen and discovery.
+fields name, listen and discovery. On SIGHUP the file is read anew, and its discovery is moved to.
 """
 
 from __future__ import annotations
@@ -33,7 +33,7 @@
 from tornado.ioloop import IOLoop
 
 from badgerroad import __version__
-from badgerroad.config import BadConfig, Config, load
+from badgerroad.config import BadConfig, Config, load, reload
 from badgerroad.dispatcher import Dispatcher
 from badgerroad.wheel import Clock, Wheel
 
@@ -60,9 +60,16 @@
             dispatcher.drain()
             check(wheel.clock.now())
 
+    def reread() -> None:
+        try:
+            dispatcher.reload(reload(os.environ))
+        except BadConfig as e:
+            log.error("reload: %s; the old configuration stays in force", " ".join(str(e).split()))
+
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop)
+    loop.add_signal_handler(signal.SIGHUP, reread)
     try:
         host, port = dispatcher.start()
     except OSError as e:
@@ -70,6 +77,8 @@
         return 1
     log.info("%s %s listens on %s:%d, discovery at %s:%d", config.name, __version__, host, port, *config.discovery)
     await done.wait()
+    # The loop's end restores what signals do by themselves: one that comes then must not turn the exit into a crash.
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
     dispatcher.close()
     log.info("stopped")
     return 0
--- a/badgerroad/config.py
+++ b/badgerroad/config.py
@@ -30,6 +30,15 @@
 
 
 def load(environment: Mapping[str, str]) -> Config:
+    return read(_file(environment), environment)
+
+
+def reload(environment: Mapping[str, str]) -> Config:
+    """The file read anew. Its `discovery` wins over PROXY_DISCOVERY, which is as old as the process."""
+    return read(_file(environment), {k: v for k, v in environment.items() if k != "PROXY_DISCOVERY"})
+
+
+def _file(environment: Mapping[str, str]) -> Dict[str, Any]:
     path = environment.get("PROXY_CONFIG")
     if not path:
         raise BadConfig("PROXY_CONFIG: not set")
@@ -41,7 +50,7 @@
         raise BadConfig(f"PROXY_CONFIG: {path}: not JSON: {e}") from e
     if not isinstance(data, dict):
         raise BadConfig(f"PROXY_CONFIG: {path}: not a JSON object")
-    return read(data, environment)
+    return data
 
 
 def read(data: Dict[str, Any], environment: Mapping[str, str]) -> Config:
--- a/badgerroad/dispatcher.py
+++ b/badgerroad/dispatcher.py
@@ -77,6 +77,16 @@
         self.table.known(self.config.known)
         return address
 
+    def reload(self, config: Config) -> None:
+        """A configuration read anew: discovery moves, all that is in flight goes on. The rest is as it was at the
+        start, as the module and the listener are built on it."""
+        for field in ("name", "listen", "sockets", "settings", "zones", "kinds"):
+            if getattr(config, field) != getattr(self.config, field):
+                log.warning("reload: the new %s takes effect at the next start", field)
+        log.info("reload: discovery at %s:%d", *config.discovery)
+        self.config = self.config._replace(discovery=config.discovery)
+        self.table.move(config.discovery)
+
     @property
     def ready(self) -> bool:
         return self.table.heard
--- a/badgerroad/routing_table.py
+++ b/badgerroad/routing_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import logging
 import math
@@ -16,6 +17,10 @@
 
 WAIT_MS = 5_000          # how long a watch waits for news: short, as a silent discovery shows only after it
 CALL_TIME = 1_500_000    # beyond its wait, how long a call may take
+# After a move the first list is asked for again and again for a while: the news counts as told 4 s after it, and the
+# module's own pause after a failure may have grown beyond that while the old address was failing.
+MOVE_PATIENCE = 3_000_000
+MOVE_PAUSE = 250_000
 STATES = {"ready": i.READY, "draining": i.DRAINING, "gone": i.GONE}
 
 
@@ -73,6 +78,8 @@
         self.heard = False        # discovery has answered or failed once
         self.listed: Dict[str, str] = {}
         self._watching = self._wanted = False
+        self._moved: Optional[int] = None   # when; until the new address has told its whole list
+        self._moves = 0
         self._connection: Optional[CallConnection] = None
 
     def known(self, data: Any) -> None:
@@ -85,6 +92,16 @@
             self._watching = True
             spawn(self._watch())
 
+    def move(self, address: Address) -> None:
+        """Discovery is elsewhere now: leave the old address and start at the new one, from the whole list."""
+        if address == self.address:
+            return
+        self.address, self._moved, self._moves = address, self.wheel.clock.now(), self._moves + 1
+        if self._connection:
+            self._connection.close()   # the call that waits there breaks off, and `_watch` goes on here
+        if self._wanted:
+            self.subscribe(True)
+
     def fetch(self) -> None:
         spawn(self._fetch())
 
@@ -103,23 +120,47 @@
 
     async def _watch(self) -> None:
         """The whole list, then one watch after another without a pause: a gap would start a new watch."""
-        target, wait = b"/api/targets", 0
+        version: Optional[int] = None   # None: the whole list is asked for
         try:
             while self._wanted:
-                news, places = await self._call(target, wait)
-                if news.scope == i.CHANGES and self.seq is not None and news.version < self.seq:
-                    raise BadList(f"version {news.version} after {self.seq}")
-                self.seq, self.heard = news.version, True
-                self._tell(news, places)
-                target, wait = b"/api/targets?index=%d&wait=%d" % (self.seq, WAIT_MS), WAIT_MS * 1000
-        except (Broken, BadList) as e:
-            log.info("discovery: %s", e)
+                moves = self._moves
+                try:
+                    version = await self._next(version)
+                except (Broken, BadList) as e:
+                    log.info("discovery: %s", e)
+                    if moves == self._moves and not await self._may_insist():
+                        break
+                if moves != self._moves:
+                    version = None
         finally:
             # Whatever ended it, the module must hear so, or it would never ask again.
             self._watching, self.heard = False, True
             if self._wanted:
                 self.news(i.WorkerList(i.FAILED), {})
 
+    async def _next(self, version: Optional[int]) -> int:
+        target, wait = b"/api/targets", 0
+        if version is not None:
+            target, wait = b"/api/targets?index=%d&wait=%d" % (version, WAIT_MS), WAIT_MS * 1000
+        moves = self._moves
+        news, places = await self._call(target, wait)
+        if news.scope == i.CHANGES and self.seq is not None and news.version < self.seq:
+            raise BadList(f"version {news.version} after {self.seq}")
+        if moves == self._moves:
+            self._moved = None
+        self.seq, self.heard = news.version, True
+        self._tell(news, places)
+        return news.version
+
+    async def _may_insist(self) -> bool:
+        """Pause after a failure that is not the module's yet: the new address has not told its list so far."""
+        if self._moved is None or self.wheel.clock.now() - self._moved > MOVE_PATIENCE:
+            return False
+        pause: "asyncio.Future[None]" = asyncio.get_event_loop().create_future()
+        self.wheel.after(MOVE_PAUSE, lambda: pause.set_result(None))
+        await pause
+        return True
+
     async def _fetch(self) -> None:
         connection = CallConnection(self.descriptors)
         try:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -4,10 +4,11 @@
 import contextlib
 import json
 import os
+import signal
 import sys
 
 import pytest
-from net import SETTINGS, World, host, id_of, job, read_message, reply, serve, story, until
+from net import SETTINGS, Peer, World, host, id_of, job, read_message, reply, serve, story, until
 
 from badgerroad import acquirer, routing_table
 from heathcrank import interface as i
@@ -256,27 +257,91 @@
         assert await reader.read() == b""
 
 
+@contextlib.asynccontextmanager
+async def program(w, config, **variables):
+    """The program itself, on a port of its own, ready; what it says goes to the pipe."""
+    listen = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+    w.port = listen.sockets[0].getsockname()[1]   # free again, and call-backs go to the program
+    listen.close()
+    config.write_text(json.dumps({
+        "name": "n1", "listen": f"127.0.0.1:{w.port}", "discovery": f"127.0.0.1:{w.discovery.port}",
+        "seed": "2", "settings": SETTINGS}))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "badgerroad", "serve", stderr=asyncio.subprocess.PIPE,
+        env={**os.environ, "PROXY_CONFIG": str(config), **variables})
+    ready = False
+    while not ready:
+        with contextlib.suppress(OSError):
+            ready = (await w.ask(b"GET /-/ready HTTP/1.1\r\n\r\n"))[0] == 200
+        await asyncio.sleep(0.02)
+    try:
+        yield process
+    finally:
+        with contextlib.suppress(ProcessLookupError):
+            process.kill()
+        await process.communicate()
+
+
 @story
 async def test_the_program_serves_and_leaves_on_sigterm_with_all_answered(tmp_path):
-    async with World(serve) as w:
-        listen = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
-        w.port = listen.sockets[0].getsockname()[1]   # free again, and call-backs go to the program
-        listen.close()
-        config = tmp_path / "config.json"
-        config.write_text(json.dumps({
-            "name": "n1", "listen": f"127.0.0.1:{w.port}", "discovery": f"127.0.0.1:{w.discovery.port}",
-            "seed": "2", "settings": SETTINGS}))
-        program = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "badgerroad", "serve", env={**os.environ, "PROXY_CONFIG": str(config)})
-        while True:
-            with contextlib.suppress(OSError):
-                if (await w.ask(b"GET /-/ready HTTP/1.1\r\n\r\n"))[0] == 200:
-                    break
-            await asyncio.sleep(0.02)
+    async with World(serve) as w, program(w, tmp_path / "config.json") as process:
         answer = w.begin(w.ask(job()))
         await until(lambda: w.hosts[0].got)
-        program.terminate()
-        assert (await answer)[0] == 200 and await program.wait() == 0
+        process.terminate()
+        while process.returncode is None:   # harmless during a drain, to the very end
+            process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.002)
+        assert (await answer)[0] == 200 and process.returncode == 0
+
+
+@story
+async def test_sighup_moves_discovery_and_a_wrong_file_changes_nothing(tmp_path):
+    async with World(serve) as w:
+        config, new = tmp_path / "config.json", await Peer(w.whole_list).open()
+        async with program(w, config, PROXY_DISCOVERY=f"127.0.0.1:{w.discovery.port}") as process:
+            good = json.loads(config.read_text())
+            for wrong, field in (("{", b"PROXY_CONFIG"), (json.dumps({**good, "discovery": "x"}), b"discovery: ")):
+                config.write_text(wrong)
+                process.send_signal(signal.SIGHUP)
+                line = b""
+                while b" ERROR reload: " not in line:
+                    line = await process.stderr.readline()
+                assert field in line and not new.got
+                assert (await w.ask(b"GET /-/ready HTTP/1.1\r\n\r\n"))[0] == 200
+            config.write_text(json.dumps({**good, "discovery": f"127.0.0.1:{new.port}"}))
+            process.send_signal(signal.SIGHUP)
+            await until(lambda: len(new.got) == 2)   # the whole list, then the watch
+        new.server.close()
+
+
+@story
+async def test_a_move_starts_from_the_whole_list_and_asks_again_without_a_failure(monkeypatch):
+    monkeypatch.setattr(routing_table, "MOVE_PAUSE", 20_000)
+    gate, calls = asyncio.Event(), []
+
+    async def slow(world, head, body):
+        await gate.wait()
+        return await serve(world, head, body)
+
+    async def new_list(head, body):
+        calls.append(head)
+        return reply(503) if len(calls) == 1 else await w.whole_list(head, body)
+    async with World(slow) as w:
+        scopes, handle = [], w.dispatcher.decisions.handle
+        w.dispatcher.decisions.handle = lambda now, e: (
+            scopes.append(e.scope) if type(e) is i.WorkerList else None) or handle(now, e)
+        answer = w.begin(w.ask(job()))
+        await until(lambda: w.hosts[0].got and any(b"index=" in head for head, _ in w.discovery.got))
+        peer = await Peer(new_list).open()
+        w.dispatcher.reload(w.dispatcher.config._replace(discovery=("127.0.0.1", peer.port)))
+        await until(lambda: len(calls) == 3)
+        w.lists.put_nowait({})   # the old address finds that nobody waits there any more
+        await w.discovery.ended.wait()
+        assert [head.split(b" ")[1][:18] for head in calls] == [b"/api/targets"] * 2 + [b"/api/targets?index"]
+        assert scopes == [i.WHOLE, i.WHOLE] and w.dispatcher.ready
+        gate.set()
+        assert (await answer)[0] == 200
+        peer.server.close()
 
 
 @story
