A 4xx of a host answers the client at once and strikes no healthy host

The client then got 503, which tells it that asking again is harmless, and came back with the same id within 50 ms.

Lines: issuer._run_leg, where all but 202 and `Not-Started` was `error`. Now a 4xx is `rejected`: no strike, no other host, the client gets that status at once, unless a second copy is still out. 408 and 429 speak of the host and stay errors.

The stories fail with either half of the change taken out.

--- a/badgerroad/dispatcher.py
+++ b/badgerroad/dispatcher.py
@@ -185,12 +185,15 @@
     def _leg_over(self, leg: Leg, result: str, load: Load, body: bytes) -> None:
         request = self.requests[leg.request]
         request.out -= 1
-        finished = request.exchange.answered or result == i.OK
         if result == i.OK:
             self._finish(request, 200, body)
-        elif result != i.CANCELLED:
+        elif result == i.REJECTED and not request.out:
+            # Another host would say the same. With a second copy out, that one settles it.
+            self._finish(request, leg.status, b"the host that was asked cannot use it\n")
+        if result not in (i.OK, i.CANCELLED):
             log.info("%s leg %d at %s: %s", request.order.id.decode("latin-1"), leg.number, leg.worker, result)
-        self.feed(i.Outcome(leg.request, leg.number, leg.worker, result, self.clock.now() - leg.sent, finished, load))
+        self.feed(i.Outcome(leg.request, leg.number, leg.worker, result, self.clock.now() - leg.sent,
+                            request.exchange.answered, load))
         self._settle(request)
 
     def _news(self, news: i.WorkerList, places: Dict[str, Address]) -> None:
--- a/badgerroad/issuer.py
+++ b/badgerroad/issuer.py
@@ -42,11 +42,12 @@
 
 class Leg:
     __slots__ = ("request", "number", "order", "worker", "sent", "asked", "started", "accepted", "over", "host",
-                 "timer", "connection")
+                 "timer", "connection", "status")
 
     def __init__(self, request: int, number: int, order: Order, worker: str, now: int) -> None:
         self.request, self.number, self.order, self.worker, self.sent = request, number, order, worker, now
         self.asked = self.started = self.accepted = self.over = False
+        self.status = 0   # of the host's answer, where that is not the 202
         self.host: Optional[IssuerHost] = None
         self.timer: Optional[Timer] = None
         self.connection: Optional[CallConnection] = None   # while the answer to the request is awaited
@@ -128,8 +129,16 @@
         if answer.status == 202:
             leg.accepted = True
             return
-        never = answer.status in (503, 504) and (answer.get(b"not-started") or b"").strip() == b"1"
-        self._end(leg, i.FULL if never else i.ERROR, self._load_header(answer))
+        leg.status = answer.status
+        self._end(leg, self._result_of(answer), self._load_header(answer))
+
+    @staticmethod
+    def _result_of(answer: http1.Message) -> str:
+        if answer.status in (503, 504) and (answer.get(b"not-started") or b"").strip() == b"1":
+            return i.FULL
+        # Counted as errors, four answers to one bad client had four healthy hosts shunned. 408 and 429 do speak of
+        # the host.
+        return i.REJECTED if 400 <= answer.status < 500 and answer.status not in (408, 429) else i.ERROR
 
     def _end(self, leg: Leg, result: str, load: Load = None, body: bytes = b"") -> None:
         """The one place where a leg is given back."""
--- a/heathcrank/interface.py
+++ b/heathcrank/interface.py
@@ -20,6 +20,8 @@
 # How an attempt ended.
 OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, MOOT = (
     "ok", "error", "full", "timeout", "connect failed", "reset", "cancelled", "moot")
+# The worker will not have this request, whoever sends it: that speaks of the request, not of the worker.
+REJECTED = "rejected"
 # Endings that prove the attempt never ran.
 NOT_RUN = frozenset((FULL, CONNECT_FAILED, MOOT))
 # What a worker list holds.
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -81,6 +81,8 @@
     (lambda *_: reply(500), i.ERROR),
     (lambda *_: reply(503, b"", b"Not-Started: 1"), i.FULL),
     (lambda *_: reply(503), i.ERROR),
+    (lambda *_: reply(429), i.ERROR),
+    (lambda *_: reply(400), i.REJECTED),
     (lambda *_: b"garbage\r\n\r\n", i.RESET),
 ])
 @story
@@ -93,6 +95,28 @@
         assert next(e.result for e in ends if type(e) is i.Outcome) == result
 
 
+@story
+async def test_a_request_that_a_host_cannot_use_is_answered_at_once_and_strikes_nobody():
+    async with World(*[lambda *_: reply(404)] * 2) as w:
+        assert (await w.ask(job()))[0] == 404
+        assert sum(len(h.got) for h in w.hosts) == 1 and not w.dispatcher.requests
+        assert [x.strikes for x in w.dispatcher.decisions.fleet] == [0, 0] and not w.dispatcher.decisions.jobs
+
+
+@story
+async def test_a_second_copy_that_is_rejected_leaves_the_first_to_settle_it():
+    def first_takes_it(world, _head, _body):
+        return reply(202 if sum(len(h.got) for h in world.hosts) == 1 else 409)
+    async with World(first_takes_it, first_takes_it) as w:
+        answer = w.begin(w.ask(job()))
+        await until(lambda: w.dispatcher.requests and w.dispatcher.requests[1].legs[0].accepted)
+        first = w.dispatcher.requests[1].legs[0].worker
+        w.dispatcher._send(i.Send(1, "h1" if first == "h0" else "h0"))
+        await until(lambda: w.dispatcher.requests[1].legs[1].over)
+        assert await w.call_back("r1", "done", first, result="made") == 200
+        assert (await answer)[2] == b"made"
+
+
 @story
 async def test_a_host_that_refuses_connections_is_passed_over():
     async with World(serve, serve) as w:
