Rank a worker behind where a job would only just be in time there

Excluded: waiting (starts told after 0 to 7 ms but for two), bad endings, and the learned speeds, which agreed with the kinds.

Lines: brain._choose took any worker where the job would be in time to the millisecond as good as one with time to spare. Beyond 0.8 of the time left a worker now ranks 0.3 of an own job behind; own load still settles the rest.

--- a/heathcrank/brain.py
+++ b/heathcrank/brain.py
@@ -29,6 +29,7 @@
 PARTS = 32           # dispatchers that keep to a cold worker because they have a part of its budget
 UNKNOWN = 0.5        # a worker of unknown load: between one with a free slot, 0, and one without, 1
 DRAWN = 2            # workers probed for a job, more drew all to the same ones; or tried beyond those near
+TIGHT = 0.8          # beyond this part of the time left to be in time, an expected run is a gamble: hints are rough
 STACK = 0.05         # share of jobs sent on top of own ones there
 
 
@@ -357,12 +358,14 @@
             if job.cls.kind not in (-1, w.info.kind) or w in tried or job.long and w.longs:
                 continue
             speed = self._speed(w)
-            if self.now + self._wait(w) + job.hint / speed > job.due:
+            took = self._wait(w) + job.hint / speed
+            if self.now + took > job.due:
                 continue  # it would be late there
             # Where crossing zones has a price, it weighs as part of an own job: near-idle picks stay at home.
             away = 0.3 if self.settings.cross_zone_cost and w.info.zone != self.settings.zone else 0.0
             if self.few:
-                rank = (w.tally + away) / w.kind.slots + 0.05 / speed, 0.0  # among near equals the faster one
+                tight = 0.3 * (took > TIGHT * (job.due - self.now))
+                rank = (w.tally + away) / w.kind.slots + 0.05 / speed + tight, 0.0  # among near equals the faster one
             else:
                 # Own tallies are nearly all 0: what was heard of others' jobs settles it. Learned pace would
                 # not do: the best by it are the same few workers for everybody.
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -334,12 +334,13 @@
 
 
 def test_own_load_settles_the_pick_and_pace_only_among_near_equals():
-    def pick(own):
+    def pick(own, hint=10 * MS):
         d = Driver(infos=(i.WorkerInfo("fast", kind=0), i.WorkerInfo("slow", kind=1)))
         for n, pace in enumerate((1.0, 0.4)):
             kind = d.d.kinds[n]
             kind.slots, kind.work, kind.took = 4.0, pace * SEC, SEC
         d.d.workers["fast"].tally = d.d.workers["fast"].running = own
-        return sends(d.ask(1, hint=10 * MS))[0][1]
+        return sends(d.ask(1, hint=hint))[0][1]
     assert pick(own=0.0) == "fast"
     assert pick(own=1.0) == "slow"
+    assert pick(own=1.0, hint=500 * MS) == "fast"   # 1250 of 1400 ms on the slow one: hints are not that exact
