--- a/heathcrank/brain.py
+++ b/heathcrank/brain.py
@@ -365,7 +365,8 @@
             away = 0.3 if self.settings.cross_zone_cost and w.info.zone != self.settings.zone else 0.0
             if self.few:
                 tight = 0.3 * (took > TIGHT * (job.due - self.now))
-                rank = (w.tally + away) / w.kind.slots + 0.05 / speed + tight, 0.0  # among near equals the faster one
+                trial = 5.0 if w.strikes and job.attempts else 0.0  # not with a job that has failed once already
+                rank = (w.tally + away) / w.kind.slots + 0.05 / speed + tight + trial, 0.0  # the faster near equal
             else:
                 # Own tallies are nearly all 0: what was heard of others' jobs settles it. Learned pace would
                 # not do: the best by it are the same few workers for everybody.
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -333,6 +333,22 @@
         assert not d.d.jobs and d.d.workers["w0"].tally == 0
 
 
+def test_a_job_that_has_failed_is_not_the_one_to_try_a_struck_worker_with():
+    # An idle struck worker ranked before busy ones: such jobs went to and fro between two of them, four legs long.
+    for seed in range(8):
+        d = Driver(workers=3, cls=SAFE, seed=seed)
+        for w in d.d.workers.values():
+            w.kind.slots = 4.0
+        d.d.workers["w0"].strikes = 1
+        d.d.workers["w1"].tally = d.d.workers["w1"].running = d.d.workers["w2"].tally = d.d.workers["w2"].running = 2.0
+        ((_, first),) = sends(d.ask(1))
+        assert first == "w0"                       # the trial that it needs
+        ((_, second),) = sends(d.end(1, 0, "w0", i.ERROR))
+        d.d.workers["w0"].until = 0                # it may be tried again
+        ((_, third),) = sends(d.end(1, 1, second, i.ERROR))
+        assert {second, third} == {"w1", "w2"}
+
+
 def test_own_load_settles_the_pick_and_pace_only_among_near_equals():
     def pick(own, hint=10 * MS):
         d = Driver(infos=(i.WorkerInfo("fast", kind=0), i.WorkerInfo("slow", kind=1)))
