Let claims count for others only once a worker runs the job

Observed by reading, checked with a test: brain._request put every hint into the sample at once, so 600 claims of 5,000 s, all declined or turned away, moved the cutoff and the mean that weigh all other jobs; a claim of more slots than any machine has came back `full` and shunned the healthy host; a claimed wait of an hour kept an order open for an hour.

Now the hint is learned when a worker tells the start, or at the good end; `full` for more slots than any worker of the kind was seen to have strikes nobody; a wait counts up to its class's deadline.

Each part taken out fails a test.

--- a/badgerroad/dispatcher.py
+++ b/badgerroad/dispatcher.py
@@ -28,7 +28,7 @@
 OWN_HEADERS = frozenset((
     b"host", b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
     b"upgrade", b"expect", b"content-length", b"request-timeout-ms", b"client-retry"))
-LONGEST_WAIT = 3_600_000
+LONGEST_WAIT = 3_600_000   # in ms; more is no wait. What a client claims beyond its class's deadline is not granted
 # It becomes part of a path when a leg is cancelled. A comma would be two headers of that name.
 REQUEST_ID = re.compile(rb"[A-Za-z0-9._~:@!$&'()*+;=-]{1,128}\Z")
 
@@ -277,7 +277,8 @@
         key = int.from_bytes(blake2b(parts[-1], digest_size=8).digest(), "big") if len(parts) > 2 else 0
         return i.Request(
             number, index, self.tenants.get(message.get(b"tenant") or b"", 0), key,
-            number_of(b"request-timeout-ms", 1, LONGEST_WAIT, None) * 1000, number_of(b"work-hint", 0, 10**12, 0),
+            min(number_of(b"request-timeout-ms", 1, LONGEST_WAIT, None) * 1000, self.settings.classes[index].deadline),
+            number_of(b"work-hint", 0, 10**12, 0),
             slots, memory, message.get(b"client-retry") == b"1"), request_id
 
     # The end.
--- a/heathcrank/brain.py
+++ b/heathcrank/brain.py
@@ -236,12 +236,6 @@
             self.jobs.pop(job.id, None)
 
     def _request(self, e: i.Request) -> None:
-        if e.hint:
-            self.hints.append(e.hint)
-            if self.seen % 64 == 0 or self.seen < 64:
-                self.cutoff = sorted(self.hints)[int(len(self.hints) * (1 - LONG_SHARE))]
-                self.mean = sum(self.hints) / len(self.hints)
-            self.seen += 1
         job = Job(e, self.settings.classes[e.class_index], e.hint > self.cutoff > 0, self.now + e.time_left)
         aim = job.cls.aim + int(job.cls.stretch * e.hint) - self._waited(e, job.cls)
         job.due = min(self.now + aim, job.deadline)
@@ -257,6 +251,16 @@
         else:
             self._place_or_hold(job)
 
+    def _believe(self, job: Job) -> None:
+        """A worker runs it: only now does what its client claims count for the jobs of others."""
+        if job.hint and not job.believed:
+            job.believed = True
+            self.hints.append(job.hint)
+            if self.seen % 64 == 0 or self.seen < 64:
+                self.cutoff = sorted(self.hints)[int(len(self.hints) * (1 - LONG_SHARE))]
+                self.mean = sum(self.hints) / len(self.hints)
+            self.seen += 1
+
     def _waited(self, e: i.Request, cls: i.RequestClass) -> int:
         """How long ago its client's first try was, from which the aim counts: a repeat comes with less time left.
         Served as if new, repeats of refused jobs took the slots of those that could still be in time. Where repeats
@@ -413,6 +417,7 @@
         job, a = self._attempt(e)
         if job and a:
             a.started = self.now
+            self._believe(job)
             a.worker.running += job.slots
             w, kind, took = a.worker, a.worker.kind, self.now - a.sent
             w.queue, w.heard = min(took / (self._patience() + job.hint), 1.0), self.now
@@ -446,9 +451,11 @@
         self._report(e)
         if e.result == i.OK and a.started and job.hint:
             self._learn(w, job.hint, self.now - a.started)
+        unfit = e.result == i.FULL and job.slots > w.kind.most  # a claim that no such worker was seen to meet
         if e.result == i.OK:
             w.strikes = 0
-        elif e.result in (i.ERROR, i.FULL, i.CONNECT_FAILED, i.RESET):
+            self._believe(job)
+        elif e.result in (i.ERROR, i.FULL, i.CONNECT_FAILED, i.RESET) and not unfit:
             # 'Full' and instant errors drain the tally and would draw traffic: leave the worker alone for a
             # while, longer each time, then try it with one job at a time until one ends well.
             w.until = self.now + min(SHUN * max(self.settings.dispatchers // 3, 1) << w.strikes, FORGET)
--- a/heathcrank/records.py
+++ b/heathcrank/records.py
@@ -37,6 +37,7 @@
 class Attempt:
     def __init__(self, worker: Worker, sent: int) -> None:
         self.worker, self.sent, self.started, self.open = worker, sent, 0, True
+        self.told = sent                # when its worker last said something of it
         self.ahead = int(worker.tally)  # own jobs in flight there before it
 
 
@@ -47,5 +48,5 @@
         self.id, self.cls, self.hint, self.slots, self.long, self.deadline = (
             r.request, cls, r.hint, r.slots, long, deadline)
         self.attempts: List[Attempt] = []
-        self.open, self.done, self.held = 0, False, False
+        self.open, self.done, self.held, self.believed = 0, False, False, False
         self.maybe: Optional[Attempt] = None  # the first attempt that is out or may have run
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -11,14 +11,23 @@
     return i.RequestClass("k", i.KEYED, 400 * MS, 6 * SEC, 2.0, group, window)
 
 
-def test_cutoff_follows_the_hints():
+def test_cutoff_follows_the_hints_of_jobs_that_ran():
     d = Driver(workers=1)
-    for n in range(300):
-        d.ask(n, hint=(n % 100 + 1) * MS)
+
+    def run(numbers, unit):
+        for n in numbers:
+            d.ask(n, hint=(n % 100 + 1) * unit)
+            d.start(n, 0, "w0")
+            d.end(n, 0, "w0")
+    run(range(300), MS)
     assert 95 * MS <= d.d.cutoff <= 99 * MS
-    for n in range(300, 1000):
-        d.ask(n, hint=(n % 100 + 1) * 10 * MS)
+    run(range(300, 1000), 10 * MS)
     assert 950 * MS <= d.d.cutoff <= 990 * MS
+    known = d.d.cutoff, d.d.mean
+    for n in range(1000, 1600):   # what clients merely claim must not bend what others get
+        d.ask(n, hint=5000 * SEC if n % 2 else MS)
+        d.end(n, 0, "w0", i.REJECTED, finished=True)
+    assert (d.d.cutoff, d.d.mean) == known and not d.d.jobs
 
 
 def test_short_job_to_the_fewest_in_flight():
@@ -91,6 +100,13 @@
     assert len(sends(d.later(300 * MS))) == 1
 
 
+def test_full_for_more_slots_than_any_such_worker_showed_speaks_of_the_job():
+    d = Driver(workers=1, cls=SAFE)
+    d.ask(1, slots=1e5)
+    d.end(1, 0, "w0", i.FULL)
+    assert sends(d.ask(2)) == [(2, "w0")]
+
+
 @pytest.mark.parametrize("result", [i.FULL, i.CONNECT_FAILED, i.MOOT])
 def test_proof_that_it_never_ran_frees_an_unsafe_job(result):
     d = Driver(workers=2)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -240,6 +240,15 @@
         assert (await w.ask(job("r2")))[0] == 200
 
 
+@story
+async def test_a_claimed_wait_counts_up_to_the_deadline_of_its_class():
+    async with World(silent) as w:
+        w.begin(w.ask(job("r1", timeout=3_000_000)))
+        await until(lambda: w.hosts[0].got)
+        (request,) = w.dispatcher.requests.values()
+        assert request.order.deadline - request.begun == SETTINGS["requestClasses"][0]["deadlineUs"]
+
+
 @story
 async def test_a_second_request_with_an_open_id_is_not_taken():
     async with World(silent) as w:
