Leave a host that does not take a job in 0.3 s or tells no progress for three periods

Excluded: pauses of hosts (89 ms at most) and a slow host (it tells progress all the same).

Lines: issuer._run_leg waited for the 202 without a limit; brain had no handler for Progress and no strike for a leg that ends in time-out early. Now a leg without a 202 or call-back after 0.3 s is given up by closing its connection, if the class may be sent again at all and nothing waits unread on the socket, and the host's idle connections go as well; an early time-out is a strike; a running job without word for three periods is a strike, and what a suspect host tells nothing of is cancelled if another host may take it under rule 2 and would be in time. Else it stays.

Each part taken out makes a test fail.

--- a/badgerroad/dispatcher.py
+++ b/badgerroad/dispatcher.py
@@ -16,7 +16,7 @@
 from badgerroad.acquirer import AcquirerSide, Exchange
 from badgerroad.config import Config
 from badgerroad.connection import Address, Descriptors
-from badgerroad.issuer import Issuers, Leg, Load, Order
+from badgerroad.issuer import ACCEPT_TIME, Issuers, Leg, Load, Order
 from badgerroad.routing_table import Reader, RoutingTable
 from badgerroad.wheel import Timer, Wheel
 from heathcrank import interface as i
@@ -139,7 +139,8 @@
             leg.over = True
             self._leg_over(leg, i.MOOT, None, b"")
         else:
-            self.issuers.start(leg, a.timeout)
+            # Where nothing may be sent again, there is nothing to be won by giving a silent host up.
+            self.issuers.start(leg, a.timeout, 0 if request.cls.semantics == i.UNSAFE else ACCEPT_TIME)
 
     def _refuse(self, a: i.Refuse) -> None:
         request = self.requests.get(a.request)
--- a/badgerroad/issuer.py
+++ b/badgerroad/issuer.py
@@ -19,6 +19,9 @@
 
 log = logging.getLogger("badgerroad")
 
+# A host answers 202 as soon as it has the job, whether or not it can start it: within 26 ms in 266 cases measured. One
+# that has said nothing by then has vanished or is cut off, which no end of a connection shows.
+ACCEPT_TIME = 300_000
 DELETE_TIME = 1_000_000   # how long a cancel may take
 PROBE_TIME = 1_000_000    # or a probe
 AFTERMATH = 2_000_000     # or the 202 of a leg that a call-back has ended already
@@ -41,12 +44,12 @@
 
 
 class Leg:
-    __slots__ = ("request", "number", "order", "worker", "sent", "asked", "started", "accepted", "over", "host",
-                 "timer", "connection", "status")
+    __slots__ = ("request", "number", "order", "worker", "sent", "asked", "heard", "started", "accepted", "over",
+                 "host", "timer", "connection", "status")
 
     def __init__(self, request: int, number: int, order: Order, worker: str, now: int) -> None:
         self.request, self.number, self.order, self.worker, self.sent = request, number, order, worker, now
-        self.asked = self.started = self.accepted = self.over = False
+        self.asked = self.heard = self.started = self.accepted = self.over = False
         self.status = 0   # of the host's answer, where that is not the 202
         self.host: Optional[IssuerHost] = None
         self.timer: Optional[Timer] = None
@@ -83,8 +86,9 @@
 
     # Legs.
 
-    def start(self, leg: Leg, timeout: int) -> None:
-        """`timeout`: microseconds until it is given up, 0 for as long as the client waits."""
+    def start(self, leg: Leg, timeout: int, accept_time: int) -> None:
+        """`timeout`: microseconds until it is given up, 0 for as long as the client waits. `accept_time`: until the
+        host must have taken it, 0 for no such limit."""
         left = leg.order.deadline - leg.sent
         left = min(left, timeout) if timeout else left
         key = leg.order.id, leg.worker
@@ -95,11 +99,11 @@
             return
         self.legs[key] = leg
         leg.timer = self.wheel.after(left, lambda: self._give_up(leg, i.TIMEOUT))
-        spawn(self._run(leg, host, leg.sent + left))
+        spawn(self._run(leg, host, leg.sent + left, accept_time))
 
-    async def _run(self, leg: Leg, host: IssuerHost, until: int) -> None:
+    async def _run(self, leg: Leg, host: IssuerHost, until: int, accept_time: int) -> None:
         try:
-            await self._run_leg(leg, host, until)
+            await self._run_leg(leg, host, until, accept_time)
         except Broken as e:
             if not leg.over:
                 log.info("leg %s at %s: %s", leg.order.id.decode("latin-1"), leg.worker, e)
@@ -110,7 +114,7 @@
         finally:
             leg.connection = None
 
-    async def _run_leg(self, leg: Leg, host: IssuerHost, until: int) -> None:
+    async def _run_leg(self, leg: Leg, host: IssuerHost, until: int, accept_time: int) -> None:
         order = leg.order
         while order.id in host.cancelling and not leg.over:
             await asyncio.wait([host.cancelling[order.id]])   # an earlier leg there must be off first
@@ -124,7 +128,12 @@
         data = http1.request(order.method, order.target, f"{host.address[0]}:{host.address[1]}",
                              [*order.headers, (b"Request-Timeout-Ms", b"%d" % left)], order.body)
         leg.asked = True
-        answer = await connection.call(data)
+        timer = self.wheel.after(accept_time, lambda: self._unheard(leg, host)) if accept_time else None
+        try:
+            answer = await connection.call(data)
+        finally:
+            if timer:
+                timer.cancel()
         self._checkin(host, connection)
         if answer.status == 202:
             leg.accepted = True
@@ -162,6 +171,12 @@
         if connection is not None:
             connection.close()
 
+    def _unheard(self, leg: Leg, host: IssuerHost) -> None:
+        if leg.over or leg.heard or leg.connection is None or leg.connection.peer_has_spoken():
+            return   # an answer that waits on the socket means that this side was slow
+        self.close_idle(host.name)   # as silent as this one: the next leg there should find out sooner
+        self._give_up(leg, i.TIMEOUT)
+
     def cancel(self, leg: Leg) -> None:
         self._give_up(leg, i.CANCELLED)
 
@@ -179,6 +194,7 @@
         leg = self.legs.get((request_id, name))
         if leg is None or not leg.asked:
             return   # told twice, or of a leg that is over; one not written yet cannot be meant either
+        leg.heard = True
         if state == "started":
             if not leg.started:
                 leg.started = True
--- a/heathcrank/brain.py
+++ b/heathcrank/brain.py
@@ -30,6 +30,7 @@
 UNKNOWN = 0.5        # a worker of unknown load: between one with a free slot, 0, and one without, 1
 DRAWN = 2            # workers probed for a job, more drew all to the same ones; or tried beyond those near
 TIGHT = 0.8          # beyond this part of the time left to be in time, an expected run is a gamble: hints are rough
+QUIET = 3            # reports of progress missing in a row after which a worker counts as gone silent
 STACK = 0.05         # share of jobs sent on top of own ones there
 
 
@@ -62,7 +63,7 @@
         self.handlers: Dict[type, Any] = {
             i.WorkerList: self._list, i.Request: self._request, i.Started: self._started,
             i.Timer: self._timer, i.Outcome: self._outcome, i.ClientGone: self._ended,
-            i.StreamStarted: self._ended, i.ProbeResult: self._report}
+            i.StreamStarted: self._ended, i.ProbeResult: self._report, i.Progress: self._progress}
 
     def handle(self, now: int, event: i.Event) -> List[i.Action]:
         self.now = now
@@ -416,8 +417,9 @@
     def _started(self, e: i.Started) -> None:
         job, a = self._attempt(e)
         if job and a:
-            a.started = self.now
+            a.started = a.told = self.now
             self._believe(job)
+            self._watch(job, a)
             a.worker.running += job.slots
             w, kind, took = a.worker, a.worker.kind, self.now - a.sent
             w.queue, w.heard = min(took / (self._patience() + job.hint), 1.0), self.now
@@ -434,6 +436,36 @@
                 kind.tested += 1
             self._release(w)
 
+    def _progress(self, e: i.Progress) -> None:
+        _, a = self._attempt(e)
+        if a:
+            a.told = self.now
+
+    def _watch(self, job: Job, a: Attempt) -> None:
+        """Progress is told each period, by a slow worker too. One that tells nothing for several has vanished."""
+        until = a.told + QUIET * self.settings.progress_every
+        if a.open and self.now < until:
+            self._at(until, lambda: self._watch(job, a), job)
+        elif a.open and self.settings.progress_every:
+            self._strike(a.worker)
+            self._leave(a.worker)
+
+    def _leave(self, w: Worker) -> None:
+        """It may have gone silent: take off it what it tells nothing of, if another may still be in time with it."""
+        quiet = (QUIET - 1) * self.settings.progress_every
+        for job in self.jobs.values() if quiet and self.settings.can_cancel else ():
+            for n, a in enumerate(job.attempts):
+                if a.open and a.worker is w and self.now > a.told + quiet and not job.done and any(
+                        x is not w and x.until <= self.now and self._may_send(job, x)
+                        and self.now + job.hint / self._speed(x) <= job.due for x in self.fleet):
+                    self.out.append(i.Cancel(job.id, n))
+
+    def _strike(self, w: Worker) -> None:
+        """'Full' and instant errors drain the tally and would draw traffic: leave the worker alone for a while,
+        longer each time, then try it with one job at a time until one ends well."""
+        w.until = self.now + min(SHUN * max(self.settings.dispatchers // 3, 1) << w.strikes, FORGET)
+        w.strikes += 1
+
     def _delayed(self, a: Attempt, took: int) -> None:
         old = a.worker.kind.delays.get(a.ahead, (0.0, 0))[0]
         a.worker.kind.delays[a.ahead] = old + (took - old) * (0.1 if self.few else 0.25), self.now
@@ -455,13 +487,13 @@
         if e.result == i.OK:
             w.strikes = 0
             self._believe(job)
-        elif e.result in (i.ERROR, i.FULL, i.CONNECT_FAILED, i.RESET) and not unfit:
-            # 'Full' and instant errors drain the tally and would draw traffic: leave the worker alone for a
-            # while, longer each time, then try it with one job at a time until one ends well.
-            w.until = self.now + min(SHUN * max(self.settings.dispatchers // 3, 1) << w.strikes, FORGET)
-            w.strikes += 1
+        elif (e.result in (i.ERROR, i.FULL, i.CONNECT_FAILED, i.RESET) and not unfit
+              or e.result == i.TIMEOUT and not job.done):  # given up before its time: it did not even take the job
+            self._strike(w)
             if e.result == i.FULL and not self.few:
                 self._delayed(a, max(job.due - a.sent, 0))  # never started there: a wait as well
+        if e.result in (i.CONNECT_FAILED, i.TIMEOUT):
+            self._leave(w)
         if e.result in i.NOT_RUN and job.maybe is a:
             job.maybe = next((x for x in job.attempts if x.open), None)
         if e.finished or job.done:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -349,6 +349,38 @@
         assert not d.d.jobs and d.d.workers["w0"].tally == 0
 
 
+def test_a_worker_that_tells_nothing_more_of_a_running_job_is_left_and_one_that_does_is_not():
+    # A host that fell silent kept its jobs until their clients gave up.
+    long = i.RequestClass("s", i.SAFE, 20 * SEC, 30 * SEC, 2.0)
+    d = Driver(workers=2, cls=long, progress_every=SEC, can_cancel=True, second_copies=True)
+    for n in (1, 2):
+        ((_, w),) = sends(d.ask(n, hint=SEC, left=30 * SEC))
+        d.start(n, 0, w)
+    silent = sends(d.said)[0][1]
+    other = sends(d.said)[1][1]
+    said = []
+    for _ in range(4):
+        said += d.later(SEC) + d.feed(i.Progress(2, 0, other, 0.1))
+    assert [a for a in said if isinstance(a, i.Cancel)] == [i.Cancel(1, 0)]
+    assert d.d.workers[silent].strikes == 1 and d.d.workers[other].strikes == 0
+    d.end(2, 0, other)
+    assert sends(d.end(1, 0, silent, i.CANCELLED)) == [(1, other)]
+
+
+def test_a_silent_worker_keeps_what_no_other_may_take():
+    d = Driver(cls=keyed(i.GROUP_CELL), infos=(i.WorkerInfo("a", cell=0), i.WorkerInfo("b", cell=1)),
+               progress_every=SEC, can_cancel=True, second_copies=True)
+    ((_, w),) = sends(d.ask(1, hint=3 * SEC))
+    d.start(1, 0, w)
+    assert not [a for a in d.later(5 * SEC) if isinstance(a, i.Cancel)] and d.d.workers[w].strikes == 1
+
+
+def test_a_leg_given_up_before_its_time_strikes_the_worker():
+    d = Driver(workers=2, cls=SAFE)
+    ((_, w),) = sends(d.ask(1))
+    assert sends(d.end(1, 0, w, i.TIMEOUT)) and d.d.workers[w].strikes == 1
+
+
 def test_a_job_that_has_failed_is_not_the_one_to_try_a_struck_worker_with():
     # An idle struck worker ranked before busy ones: such jobs went to and fro between two of them, four legs long.
     for seed in range(8):
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -10,7 +10,7 @@
 import pytest
 from net import SETTINGS, Peer, World, host, id_of, job, read_message, reply, serve, story, until
 
-from badgerroad import acquirer, routing_table
+from badgerroad import acquirer, dispatcher, routing_table
 from heathcrank import interface as i
 
 
@@ -103,6 +103,32 @@
         assert [x.strikes for x in w.dispatcher.decisions.fleet] == [0, 0] and not w.dispatcher.decisions.jobs
 
 
+@story
+async def test_a_host_that_does_not_take_a_job_is_given_up_and_another_serves_it(monkeypatch):
+    monkeypatch.setattr(dispatcher, "ACCEPT_TIME", 100_000)
+
+    async def deaf_at_first(world, head, body):
+        if sum(len(h.got) for h in world.hosts) == 1:
+            await asyncio.sleep(60)
+        return await serve(world, head, body)
+    async with World(deaf_at_first, deaf_at_first) as w:
+        assert (await w.ask(job()))[0] == 200
+        assert sorted(len(h.got) for h in w.hosts) == [1, 1]
+        assert sorted(x.strikes for x in w.dispatcher.decisions.fleet) == [0, 1]
+
+
+@story
+async def test_a_host_that_calls_back_before_it_answers_is_not_given_up(monkeypatch):
+    monkeypatch.setattr(dispatcher, "ACCEPT_TIME", 100_000)
+
+    async def slow_to_answer(world, head, body):
+        assert await world.call_back(id_of(head), "started", world.name_of(head)) == 200
+        await asyncio.sleep(0.3)
+        return await serve(world, head, body)
+    async with World(slow_to_answer) as w:
+        assert (await w.ask(job()))[2] == b"made" and len(w.hosts[0].got) == 1
+
+
 @story
 async def test_a_second_copy_that_is_rejected_leaves_the_first_to_settle_it():
     def first_takes_it(world, _head, _body):
