Keep the last descriptors for legs, and let no half request put off the end of a drain

`owed` counted any connection that was not idle, so one half request after another, 2.5 s each, could keep a draining program up until it is killed.

Lines: acquirer._accept (stops at 97.5% now), issuer._checkout (moot in place of a failed connection), AcquirerSide.owed (whole requests and unwritten answers).

Each part taken out fails a story.

--- a/badgerroad/acquirer.py
+++ b/badgerroad/acquirer.py
@@ -76,6 +76,10 @@
         return (self.exchange is None and self.ahead is None and self.parser.idle and self.written
                 and not self.lingering)
 
+    @property
+    def owes(self) -> bool:
+        return self.exchange is not None or self.ahead is not None or not self.written
+
     @property
     def dispensable(self) -> bool:
         """Idle, and not so fresh that its first request may be on its way: without an answer to go by, its client
@@ -218,7 +222,7 @@
                 if self.descriptors.scarce:
                     self.taker.shed()
             try:
-                if self.descriptors.spent:
+                if self.descriptors.kept:
                     raise OSError(errno.EMFILE, "descriptor limit reached")
                 sock, _peer = listener.accept()
             except (BlockingIOError, ConnectionAbortedError, InterruptedError):
@@ -257,7 +261,9 @@
 
     @property
     def owed(self) -> bool:
-        return any(not c.idle for c in self.connections)
+        """Requests that came whole, and answers on their way. Half a request is none: clients that send no more, or
+        ever new ones that do, must not put off the end of a drain."""
+        return any(c.owes for c in self.connections)
 
     def close(self) -> None:
         if self._listener is not None:
--- a/badgerroad/connection.py
+++ b/badgerroad/connection.py
@@ -56,6 +56,11 @@
         """New work should be declined: a job may need one more socket for its leg."""
         return self.used >= self.limit * 0.95
 
+    @property
+    def kept(self) -> bool:
+        """What is left is kept for legs: clients that say nothing must not take the last ones."""
+        return self.used >= self.limit * 0.975
+
     @property
     def spent(self) -> bool:
         return self.used >= self.limit
@@ -194,6 +199,10 @@
         self.sent = sent
 
 
+class NoDescriptor(Broken):
+    """This side had none left: nothing was sent, and the other side has no part in it."""
+
+
 class CallConnection(Connection):
     """A connection to an issuer host or to discovery: one call at a time."""
 
--- a/badgerroad/issuer.py
+++ b/badgerroad/issuer.py
@@ -13,7 +13,7 @@
 from typing import Any, Callable, Dict, List, Optional, Tuple
 
 from badgerroad import http1
-from badgerroad.connection import Address, Broken, CallConnection, Descriptors, spawn
+from badgerroad.connection import Address, Broken, CallConnection, Descriptors, NoDescriptor, spawn
 from badgerroad.wheel import Timer, Wheel
 from heathcrank import interface as i
 
@@ -104,6 +104,9 @@
     async def _run(self, leg: Leg, host: IssuerHost, until: int, accept_time: int) -> None:
         try:
             await self._run_leg(leg, host, until, accept_time)
+        except NoDescriptor as e:
+            log.warning("leg %s at %s: %s", leg.order.id.decode("latin-1"), leg.worker, e)
+            self._end(leg, i.MOOT)   # a failed connection would strike a healthy host
         except Broken as e:
             if not leg.over:
                 log.info("leg %s at %s: %s", leg.order.id.decode("latin-1"), leg.worker, e)
@@ -226,7 +229,7 @@
         if self.descriptors.scarce:
             self.shed()
         if self.descriptors.spent:
-            raise Broken(False, "no descriptor left")
+            raise NoDescriptor(False, "no descriptor left")
         connection = CallConnection(self.descriptors)
         if leg is not None:
             leg.connection = connection
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -11,6 +11,7 @@
 from net import SETTINGS, Peer, World, host, id_of, job, read_message, reply, serve, story, until
 
 from badgerroad import acquirer, dispatcher, routing_table
+from badgerroad.connection import Descriptors
 from heathcrank import interface as i
 
 
@@ -505,6 +506,40 @@
         assert w.dispatcher.descriptors.used <= w.dispatcher.descriptors.limit
 
 
+@story
+async def test_without_a_descriptor_for_the_leg_the_client_is_declined_and_no_host_struck():
+    async with World(serve, serve) as w:
+        client = await w.connect()
+        await w.ask(b"GET /-/ready HTTP/1.1\r\n\r\n", client)
+        w.dispatcher.issuers.descriptors = Descriptors(0)
+        w.dispatcher.issuers.descriptors.used = 8
+        status, head, _ = await w.ask(job(), client)
+        assert status == 503 and b"Retry-After" in head
+        assert [x.strikes for x in w.dispatcher.decisions.fleet] == [0, 0] and not w.hosts[0].got + w.hosts[1].got
+
+
+@story
+async def test_clients_cannot_take_the_last_descriptors():
+    async with World(serve, limits=224) as w:   # 200 without the reserve
+        mute = [await w.connect() for _ in range(220)]
+        for n, (_, writer) in enumerate(mute):
+            writer.write(b"POST")   # none of them is idle
+        descriptors = w.dispatcher.descriptors
+        await until(lambda: descriptors.used >= 195)
+        await asyncio.sleep(0.2)    # the listener rests and tries again
+        assert descriptors.used <= 196 and not descriptors.spent
+
+
+@story
+async def test_half_a_request_does_not_put_off_the_end_of_a_drain():
+    async with World(serve) as w:
+        _, writer = await w.connect()
+        writer.write(job()[:40])
+        await until(lambda: any(not c.idle for c in w.dispatcher.acquirers.connections))
+        w.dispatcher.drain()
+        assert not w.dispatcher.owed
+
+
 @story
 async def test_an_exception_in_the_module_is_logged_and_its_request_answered(caplog):
     async with World(serve) as w:
