--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -117,6 +117,14 @@
     assert e.value.status == status
 
 
+def test_a_start_loads_no_certificates_and_leaves_the_collector_on():
+    code = ("import gc, sys; from badgerroad.__main__ import start; sys.argv[1:] = ['version']; start();"
+            "import tornado.netutil as n; print(n._client_ssl_defaults.cert_store_stats()['x509'], gc.isenabled())")
+    env = {k: v for k, v in os.environ.items() if not k.startswith("SSL_CERT_")}
+    p = subprocess.run([sys.executable, "-c", code], env=env, capture_output=True, text=True)
+    assert p.stdout.split("\n")[1] == "0 True", p.stderr
+
+
 GOOD = {"name": "n0", "listen": "127.0.0.1:7070", "discovery": "127.0.0.1:8500", "seed": "8c1f", "settings": SETTINGS,
         "known": {"seq": 1, "whole": True, "hosts": [host("h0", 1)]}}
 
