--- /dev/null
+++ b/badgerroad/acquirer/__init__.py
@@ -0,0 +1,1 @@
+"""The acquirer side: one module or package a protocol that clients speak."""
--- a/badgerroad/acquirer.py
+++ b/badgerroad/acquirer/http.py
@@ -13,9 +13,9 @@
 
 from tornado.ioloop import IOLoop
 
-from badgerroad import http1
-from badgerroad.connection import Address, Connection, Descriptors, spawn
-from badgerroad.wheel import Timer, Wheel
+from badgerroad.net import http1
+from badgerroad.net.connection import Address, Connection, Descriptors, spawn
+from badgerroad.net.wheel import Timer, Wheel
 
 log = logging.getLogger("badgerroad")
 
--- a/badgerroad/cli.py
+++ b/badgerroad/cli.py
@@ -35,7 +35,7 @@
 from badgerroad import __version__
 from badgerroad.config import BadConfig, Config, load, reload
 from badgerroad.dispatcher import Dispatcher
-from badgerroad.wheel import Clock, Wheel
+from badgerroad.net.wheel import Clock, Wheel
 
 log = logging.getLogger("badgerroad")
 
--- a/badgerroad/config.py
+++ b/badgerroad/config.py
@@ -7,8 +7,8 @@
 from pathlib import Path
 from typing import Any, Dict, List, Mapping, NamedTuple
 
-from badgerroad.connection import Address
-from badgerroad.routing_table import BadList, Reader, address_of
+from badgerroad.discovery.routing_table import BadList, Reader, address_of
+from badgerroad.net.connection import Address
 from heathcrank import interface as i
 from heathcrank.settings import BadInput, settings_from
 
--- /dev/null
+++ b/badgerroad/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""Where lists of issuer hosts come from."""
--- a/badgerroad/routing_table.py
+++ b/badgerroad/discovery/routing_table.py
@@ -8,9 +8,9 @@
 import math
 from typing import Any, Callable, Dict, List, Optional, Tuple
 
-from badgerroad import http1
-from badgerroad.connection import Address, Broken, CallConnection, Descriptors, spawn
-from badgerroad.wheel import Wheel
+from badgerroad.net import http1
+from badgerroad.net.connection import Address, Broken, CallConnection, Descriptors, spawn
+from badgerroad.net.wheel import Wheel
 from heathcrank import interface as i
 
 log = logging.getLogger("badgerroad")
--- a/badgerroad/dispatcher.py
+++ b/badgerroad/dispatcher.py
@@ -12,13 +12,13 @@
 from hashlib import blake2b
 from typing import Any, Callable, Deque, Dict, List, Optional
 
-from badgerroad import http1
-from badgerroad.acquirer import AcquirerSide, Exchange
+from badgerroad.acquirer.http import AcquirerSide, Exchange
 from badgerroad.config import Config
-from badgerroad.connection import Address, Descriptors
-from badgerroad.issuer import ACCEPT_TIME, Issuers, Leg, Load, Order
-from badgerroad.routing_table import Reader, RoutingTable
-from badgerroad.wheel import Timer, Wheel
+from badgerroad.discovery.routing_table import Reader, RoutingTable
+from badgerroad.issuer.http import ACCEPT_TIME, Issuers, Leg, Load, Order
+from badgerroad.net import http1
+from badgerroad.net.connection import Address, Descriptors
+from badgerroad.net.wheel import Timer, Wheel
 from heathcrank import interface as i
 from heathcrank.brain import Dispatcher as Decisions
 
--- a/badgerroad/issuer.py
+++ b/badgerroad/issuer/http.py
@@ -12,9 +12,9 @@
 import math
 from typing import Any, Callable, Dict, List, Optional, Tuple
 
-from badgerroad import http1
-from badgerroad.connection import Address, Broken, CallConnection, Descriptors, NoDescriptor, spawn
-from badgerroad.wheel import Timer, Wheel
+from badgerroad.net import http1
+from badgerroad.net.connection import Address, Broken, CallConnection, Descriptors, NoDescriptor, spawn
+from badgerroad.net.wheel import Timer, Wheel
 from heathcrank import interface as i
 
 log = logging.getLogger("badgerroad")
--- a/badgerroad/connection.py
+++ b/badgerroad/net/connection.py
@@ -12,8 +12,8 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from badgerroad.http1 import RING_LIMIT, BadMessage, Message, Parser
-from badgerroad.ring import Ring
+from badgerroad.net.http1 import RING_LIMIT, BadMessage, Message, Parser
+from badgerroad.net.ring import Ring
 
 Address = Tuple[str, int]
 log = logging.getLogger("badgerroad")
--- a/badgerroad/http1.py
+++ b/badgerroad/net/http1.py
@@ -9,7 +9,7 @@
 import re
 from typing import Iterable, List, Optional, Tuple
 
-from badgerroad.ring import Ring
+from badgerroad.net.ring import Ring
 
 HEADER_LIMIT = 16 * 1024
 BODY_LIMIT = 64 * 1024
--- a/tests/net.py
+++ b/tests/net.py
@@ -9,7 +9,7 @@
 
 from badgerroad.config import read
 from badgerroad.dispatcher import Dispatcher
-from badgerroad.wheel import Clock, Wheel
+from badgerroad.net.wheel import Clock, Wheel
 
 CLASS = {"semantics": "retryable", "goalTimeUs": 4_000_000, "deadlineUs": 6_000_000}
 SETTINGS = {
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -8,8 +8,8 @@
 import pytest
 from net import SETTINGS, host
 
-from badgerroad import http1, wheel
-from badgerroad.ring import Ring
+from badgerroad.net import http1, wheel
+from badgerroad.net.ring import Ring
 
 
 def test_a_ring_wraps_grows_to_its_limit_and_shrinks_when_empty():
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -10,8 +10,10 @@
 import pytest
 from net import SETTINGS, Peer, World, host, id_of, job, read_message, reply, serve, story, until
 
-from badgerroad import acquirer, dispatcher, routing_table
-from badgerroad.connection import Descriptors
+from badgerroad import dispatcher
+from badgerroad.acquirer import http as acquirer
+from badgerroad.discovery import routing_table
+from badgerroad.net.connection import Descriptors
 from heathcrank import interface as i
 
 
