--- a/badgerroad/acquirer/http.py
+++ b/badgerroad/acquirer/http.py
@@ -7,17 +7,16 @@
 
 import errno
 import json
-import logging
 import socket
 from typing import Any, Dict, Iterable, List, Optional, Protocol, Set, Tuple
 
 from tornado.ioloop import IOLoop
 
-from badgerroad.net import http1
+from badgerroad.net import http1, logs
 from badgerroad.net.connection import Address, Connection, Descriptors, spawn
 from badgerroad.net.wheel import Timer, Wheel
 
-log = logging.getLogger("badgerroad")
+log = logs.get("badgerroad")
 
 LINGER = 1_000_000        # how long the rest of a bad request is read and thrown away
 # From its first byte, the first one from the connection on, to its last one: a client that sends no whole request is
@@ -229,7 +228,7 @@
                 return
             except OSError as e:
                 # Without a pause the loop would spin on the same connection; it waits in the backlog.
-                log.warning("accept: %s", e)
+                log.warning("accept", why=str(e))
                 self._loop.remove_handler(listener)
                 self.wheel.after(ACCEPT_PAUSE, self._accept_again)
                 return
--- a/badgerroad/cli.py
+++ b/badgerroad/cli.py
@@ -1,104 +1,107 @@
 """badgerroad, a dispatcher that pushes render jobs to issuer hosts.
 
 Usage:
-  badgerroad serve [--verbose]
-  badgerroad check-config
+  badgerroad serve [--operator FILE] [--verbose]
+  badgerroad check-config [--operator FILE]
+  badgerroad rehearse SCENARIO [--seed N] [--json FILE] [--logs DIR]
+  badgerroad emulate run SCENARIO [--seed N] [--policy NAME] [--json FILE] [--log FILE]
+  badgerroad lab run EXPERIMENT [--store FILE] [--jobs N]
+  badgerroad lab report EXPERIMENT [--store FILE] [--out DIR]
+  badgerroad lab compare A B [--store FILE] [--measure NAME]
+  badgerroad lab replay ID [--store FILE] [--log FILE]
+  badgerroad lab (theory | paper) [--out DIR] [--scale X] [--jobs N]
+  badgerroad load URL... [--rate R] [--seconds S] [--seed N] [--classes LIST] [--trace FILE] [--json FILE]
   badgerroad version
   badgerroad (-h | --help)
 
 Commands:
-  serve         Serve until SIGTERM, then answer what is owed and exit.
-  check-config  Read the configuration, say what it holds, and exit.
-  version       Print the version.
+  serve          Serve until SIGTERM, then answer what is owed and exit.
+  check-config   Read the configuration, say what it holds, and exit.
+  rehearse       Play a scenario live: nodes, discovery and clients on loopback, real dispatcher processes.
+  emulate run    Play a scenario in virtual time, as fast as the machine allows.
+  lab run        Play an experiment's grid; may be stopped and started again without losing or repeating a run.
+  lab report     Write an experiment's tables and charts.
+  lab compare    Say whether two variants differ, with paired seeds and an interval. A and B: scenario/policy.
+  lab replay     Play one stored run again, with its event log.
+  lab theory     Hold the model against queueing theory.
+  lab paper      Hold it against the tables of the LC* paper.
+  load           Send an open-loop load to dispatchers and print latencies from the intended send times.
+  version        Print the version.
 
 Options:
-  -v --verbose  Log debugging details too.
-  -h --help     Show this text.
-
-The configuration comes from PROXY_CONFIG, a JSON file; PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY override its
-fields name, listen and discovery. On SIGHUP the file is read anew, and its discovery is moved to.
+  --operator FILE  The operator's own TOML file.
+  --seed N         Seed of a run; the scenario's own without it.
+  --policy NAME    Whose decisions: heathcrank or a baseline [default: heathcrank].
+  --json FILE      Write the result as JSON.
+  --log FILE       Write the event log as JSON lines.
+  --logs DIR       Keep the dispatchers' logs here.
+  --store FILE     Results [default: lab.sqlite].
+  --out DIR        Where reports go [default: report].
+  --jobs N         Processes; all cores without it.
+  --scale X        Part of the full length [default: 1.0].
+  --measure NAME   figure, worth, worst_class or worst_window [default: figure].
+  --rate R         Requests a second [default: 20].
+  --seconds S      How long [default: 10].
+  --classes LIST   name=share,name=share [default: preview=1].
+  --trace FILE     Arrivals from a CSV file: at_s, class, work_ms.
+  -v --verbose     Log debugging details too.
+  -h --help        Show this text.
+
+serve and check-config take their configuration from PROXY_CONFIG, a JSON file; PROXY_NAME, PROXY_LISTEN and
+PROXY_DISCOVERY override its fields name, listen and discovery. On SIGHUP it is read anew.
+
+Exit codes: 0 done; 1 cannot listen, or a rehearsal broke a rule; 2 a file or an argument is wrong.
 """
 
 from __future__ import annotations
 
-import asyncio
-import gc
-import logging
-import os
-import signal
 import sys
-from typing import List, Optional
-
-from docopt import docopt
-from tornado.ioloop import IOLoop
+from typing import Any, List, Optional
 
 from badgerroad import __version__
-from badgerroad.config import BadConfig, Config, load, reload
-from badgerroad.dispatcher import Dispatcher
-from badgerroad.net.wheel import Clock, Wheel
-
-log = logging.getLogger("badgerroad")
-
-GRACE = 800_000     # after SIGTERM new connections keep coming for a while
-CHECK = 20_000
 
-
-async def serve(config: Config) -> int:
-    wheel = Wheel(Clock(), IOLoop.current())
-    dispatcher = Dispatcher(config, wheel)
-    done = asyncio.Event()
-
-    def check(since: int) -> None:
-        if dispatcher.owed or wheel.clock.now() - since < GRACE:
-            wheel.after(CHECK, lambda: check(since))
-        else:
-            done.set()
-
-    def stop() -> None:
-        if not dispatcher.acquirers.draining:
-            log.info("stopping: answering what is owed")
-            dispatcher.drain()
-            check(wheel.clock.now())
-
-    def reread() -> None:
-        try:
-            dispatcher.reload(reload(os.environ))
-        except BadConfig as e:
-            log.error("reload: %s; the old configuration stays in force", " ".join(str(e).split()))
-
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop)
-    loop.add_signal_handler(signal.SIGHUP, reread)
-    try:
-        host, port = dispatcher.start()
-    except OSError as e:
-        print(f"badgerroad: listen: {config.listen[0]}:{config.listen[1]}: {e.strerror}", file=sys.stderr)
-        return 1
-    log.info("%s %s listens on %s:%d, discovery at %s:%d", config.name, __version__, host, port, *config.discovery)
-    await done.wait()
-    # The loop's end restores what signals do by themselves: one that comes then must not turn the exit into a crash.
-    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
-    dispatcher.close()
-    log.info("stopped")
-    return 0
+BAD_ARGUMENT = 2
 
 
 def main(arguments: Optional[List[str]] = None) -> int:
-    options = docopt(__doc__ or "", argv=arguments)
-    if options["version"]:
+    arguments = sys.argv[1:] if arguments is None else arguments
+    if arguments[:1] == ["serve"] and len(arguments) == 1:
+        # How the platform starts it: while a dispatcher restarts others may too, and parsing this page takes time.
+        from badgerroad.serving import main as serve
+        return serve(False, None, False)
+    from docopt import docopt
+    o = docopt(__doc__ or "", argv=arguments)
+    if o["version"]:
         print(f"badgerroad {__version__}")
         return 0
+    if o["serve"] or o["check-config"]:
+        from badgerroad.serving import main as serve
+        return serve(bool(o["check-config"]), o["--operator"], bool(o["--verbose"]))
+    return _tools(o)
+
+
+def _tools(o: Any) -> int:
+    """What `serve` never imports."""
     try:
-        config = load(os.environ)
-    except BadConfig as e:
+        if o["rehearse"]:
+            from badgerroad.emulator import rehearse
+            return rehearse.main(o["SCENARIO"], _number(o["--seed"]), o["--json"], o["--logs"])
+        if o["load"]:
+            from badgerroad.lab import load
+            return load.main(o["URL"], float(o["--rate"]), float(o["--seconds"]), _number(o["--seed"]) or 1,
+                             o["--classes"], o["--trace"], o["--json"])
+        from badgerroad.lab import commands
+        return commands.main(o)
+    except ModuleNotFoundError as e:
+        print(f"badgerroad: {e.name} is not installed; pip install 'badgerroad[lab]' brings it", file=sys.stderr)
+    except ValueError as e:
         print(f"badgerroad: {' '.join(str(e).split())}", file=sys.stderr)
-        return 2
-    if options["check-config"]:
-        print(f"{config.name}: {len(config.settings.classes)} classes, {len(config.known['hosts'])} known hosts, "
-              f"{config.sockets} sockets; listens on {config.listen[0]}:{config.listen[1]}")
-        return 0
-    logging.basicConfig(level=logging.DEBUG if options["--verbose"] else logging.INFO, stream=sys.stderr,
-                        format="%(asctime)s.%(msecs)03d %(levelname)s %(message)s", datefmt="%H:%M:%S")
-    gc.freeze()   # what start-up made stays: the collector need not look at it again
-    return asyncio.run(serve(config))
+    return BAD_ARGUMENT
+
+
+def _number(text: Optional[str]) -> Optional[int]:
+    if text is None:
+        return None
+    if not text.isdigit():
+        raise ValueError(f"--seed: not a whole number: {text!r}")
+    return int(text)
--- a/badgerroad/discovery/routing_table.py
+++ b/badgerroad/discovery/routing_table.py
@@ -4,16 +4,15 @@
 
 import asyncio
 import json
-import logging
 import math
 from typing import Any, Callable, Dict, List, Optional, Tuple
 
-from badgerroad.net import http1
+from badgerroad.net import http1, logs
 from badgerroad.net.connection import Address, Broken, CallConnection, Descriptors, spawn
 from badgerroad.net.wheel import Wheel
 from heathcrank import interface as i
 
-log = logging.getLogger("badgerroad")
+log = logs.get("badgerroad")
 
 WAIT_MS = 5_000          # how long a watch waits for news: short, as a silent discovery shows only after it
 CALL_TIME = 1_500_000    # beyond its wait, how long a call may take
@@ -77,6 +76,7 @@
         self.seq: Optional[int] = None
         self.heard = False        # discovery has answered or failed once
         self.listed: Dict[str, str] = {}
+        self.halls: Dict[str, str] = {}   # by host, for the log
         self._watching = self._wanted = False
         self._moved: Optional[int] = None   # when; until the new address has told its whole list
         self._moves = 0
@@ -115,7 +115,9 @@
             self.listed = {}
         for e in news.entries:
             self.listed[str(e.worker)] = e.state
+            self.halls[str(e.worker)] = self.reader.zones[e.zone]
         self.listed = {n: s for n, s in self.listed.items() if s != i.GONE}
+        self.halls = {n: h for n, h in self.halls.items() if n in self.listed}
         self.news(news, places)
 
     async def _watch(self) -> None:
@@ -127,7 +129,7 @@
                 try:
                     version = await self._next(version)
                 except (Broken, BadList) as e:
-                    log.info("discovery: %s", e)
+                    log.info("discovery failed", why=str(e))
                     if moves == self._moves and not await self._may_insist():
                         break
                 if moves != self._moves:
@@ -166,7 +168,7 @@
         try:
             self._tell(*await self._call(b"/api/targets", 0, connection))
         except (Broken, BadList) as e:
-            log.info("discovery: %s", e)
+            log.info("discovery failed", why=str(e))
             self.news(i.WorkerList(i.FAILED), {})
         finally:
             connection.close()
--- a/badgerroad/dispatcher.py
+++ b/badgerroad/dispatcher.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import logging
 import re
 from collections import deque
 from hashlib import blake2b
@@ -16,13 +15,13 @@
 from badgerroad.config import Config
 from badgerroad.discovery.routing_table import Reader, RoutingTable
 from badgerroad.issuer.http import ACCEPT_TIME, Issuers, Leg, Load, Order
-from badgerroad.net import http1
+from badgerroad.net import http1, logs
 from badgerroad.net.connection import Address, Descriptors
 from badgerroad.net.wheel import Timer, Wheel
 from heathcrank import interface as i
 from heathcrank.brain import Dispatcher as Decisions
 
-log = logging.getLogger("badgerroad")
+log = logs.get("badgerroad")
 
 # Of the client's headers, those that speak of its own connection or wait are not passed on.
 OWN_HEADERS = frozenset((
@@ -70,7 +69,7 @@
             i.SetTimer: lambda a: self._set_timer(a), i.Subscribe: lambda a: self.table.subscribe(a.on),
             i.Fetch: lambda a: self.table.fetch(), i.Probe: lambda a: self.issuers.probe(str(a.worker)),
             i.CloseIdle: lambda a: self.issuers.close_idle(str(a.worker)),
-            i.Log: lambda a: log.info("module: %s", a.text)}
+            i.Log: lambda a: log.info("module", text=a.text)}
 
     def start(self) -> Address:
         address = self.acquirers.listen(self.config.listen)
@@ -82,8 +81,8 @@
         start, as the module and the listener are built on it."""
         for field in ("name", "listen", "sockets", "settings", "zones", "kinds"):
             if getattr(config, field) != getattr(self.config, field):
-                log.warning("reload: the new %s takes effect at the next start", field)
-        log.info("reload: discovery at %s:%d", *config.discovery)
+                log.warning("reload: takes effect at the next start", field=field)
+        log.info("reload", discovery=f"{config.discovery[0]}:{config.discovery[1]}")
         self.config = self.config._replace(discovery=config.discovery)
         self.table.move(config.discovery)
 
@@ -108,18 +107,18 @@
         try:
             actions = self.decisions.handle(self.clock.now(), event)
         except Exception:
-            log.exception("the module broke on %r", event)
+            log.exception("the module broke", on=repr(event))
             self._give_up(getattr(event, "request", -1))
             return
         for action in actions:
             perform = self._perform.get(type(action))
             if perform is None:
-                log.error("an action that this deployment has no use for: %r", action)
+                log.error("an action that this deployment has no use for", action=repr(action))
                 continue
             try:
                 perform(action)
             except Exception:
-                log.exception("could not perform %r", action)
+                log.exception("could not perform an action", action=repr(action))
                 self._give_up(getattr(action, "request", -1))
 
     def _give_up(self, number: int) -> None:
@@ -167,8 +166,8 @@
         """The one place where a request is answered."""
         if not request.exchange.answered:
             took = (self.clock.now() - request.begun) // 1000
-            log.info("%s %s: %d after %d ms, %d legs", request.order.id.decode("latin-1"), request.cls.name, status,
-                     took, len(request.legs))
+            log.info("answered", request=request.order.id.decode("latin-1"), cls=request.cls.name, status=status,
+                     ms=took, legs=len(request.legs))
             request.exchange.answer(status, body, headers)
         self._settle(request)
 
@@ -192,7 +191,8 @@
             # Another host would say the same. With a second copy out, that one settles it.
             self._finish(request, leg.status, b"the host that was asked cannot use it\n")
         if result not in (i.OK, i.CANCELLED):
-            log.info("%s leg %d at %s: %s", request.order.id.decode("latin-1"), leg.number, leg.worker, result)
+            log.info("leg over", request=request.order.id.decode("latin-1"), leg=leg.number, host=leg.worker,
+                     hall=self.table.halls.get(leg.worker, ""), result=result)
         self.feed(i.Outcome(leg.request, leg.number, leg.worker, result, self.clock.now() - leg.sent,
                             request.exchange.answered, load))
         self._settle(request)
@@ -236,7 +236,7 @@
     def client_gone(self, exchange: Exchange) -> None:
         request = self.requests.get(exchange.number)
         if request:
-            log.info("%s: the client has left", request.order.id.decode("latin-1"))
+            log.info("the client has left", request=request.order.id.decode("latin-1"))
             self.feed(i.ClientGone(request.number))
             self._settle(request)
 
--- /dev/null
+++ b/badgerroad/emulator/live/clock.py
@@ -0,0 +1,57 @@
+"""The model's kernel on the wall clock: events are played by the asyncio loop when they are due."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Any, Callable, Optional
+
+from badgerroad.emulator.model.kernel import Entry, Kernel
+
+
+class LiveKernel(Kernel):
+    """Time stands below zero while the dispatchers start; `begin` moves it to zero, where the scenario begins."""
+
+    LEAD = 120_000_000
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self._zero = time.monotonic_ns() // 1000 + self.LEAD
+        self._alarm: Optional[asyncio.TimerHandle] = None
+        self._alarm_at = 0
+        self._playing = False
+        super().__init__()
+
+    @property
+    def now(self) -> int:
+        return time.monotonic_ns() // 1000 - self._zero
+
+    @now.setter
+    def now(self, value: int) -> None:
+        """The wall clock moves by itself."""
+
+    def begin(self) -> None:
+        self._zero = time.monotonic_ns() // 1000
+        self.turn()
+
+    def at(self, when: int, call: Callable[..., Any], *args: Any) -> Entry:
+        entry = super().at(when, call, *args)
+        if not self._playing and (self._alarm is None or entry.when < self._alarm_at):
+            self._arm()
+        return entry
+
+    def _arm(self) -> None:
+        if self._alarm is not None:
+            self._alarm.cancel()
+            self._alarm = None
+        if self.next != -1 or self._queue:
+            self._alarm_at = self._queue[0][0]
+            self._alarm = self.loop.call_later(max(self._alarm_at - self.now, 0) / 1e6, self.turn)
+
+    def turn(self) -> None:
+        self._playing = True
+        try:
+            self.run(self.now)
+        finally:
+            self._playing = False
+            self._arm()
--- /dev/null
+++ b/badgerroad/emulator/model/registry.py
@@ -0,0 +1,147 @@
+"""Discovery: one list of nodes, learned late, served in turn, watched; with outages and silence."""
+
+from __future__ import annotations
+
+from typing import Callable, Dict, List, NamedTuple, Optional, Tuple
+
+from badgerroad.emulator.model.kernel import SEC, Draws, Kernel
+
+KEPT = 512   # changes kept; a watch from further back gets the whole list
+
+
+class Entry(NamedTuple):
+    """One line of the list. `since`: its last start in microseconds of the run's clock, 0 for long ago."""
+    node: str
+    state: str
+    since: int
+    kind: int
+    hall: int
+    rack: int
+    weight: float
+
+
+class Answer(NamedTuple):
+    version: int
+    whole: bool
+    entries: Tuple[Entry, ...]
+
+
+Reply = Callable[[Optional[Answer]], None]   # None: the call failed
+
+
+class Registry:
+    """Calls wait in turn; each takes `1 / capacity` s and fails once it has waited longer than `patience`."""
+
+    def __init__(self, kernel: Kernel, draws: Draws, notice: Tuple[float, float], capacity: float,
+                 patience: int) -> None:
+        self.kernel, self.draws, self.notice, self.patience = kernel, draws, notice, patience
+        self.cost = int(SEC / capacity) if capacity else 0
+        self.entries: Dict[str, Entry] = {}
+        self.version = 1
+        self.changes: List[Tuple[int, Entry]] = []
+        self.down = self.silent = False
+        self.calls = self.failed = 0
+        self.listed_at: Dict[str, int] = {}    # when a node was first listed as not ready
+        self.contact: Dict[int, Tuple[int, int, bool]] = {}   # by dispatcher: last contact, watches out, last failed
+        self._free = 0
+        self._watchers: List[Tuple[int, int, Reply]] = []     # (dispatcher, version, reply)
+
+    def put(self, entry: Entry) -> None:
+        """The list changes now."""
+        self.version += 1
+        if entry.state == "gone":
+            self.entries.pop(entry.node, None)
+        else:
+            self.entries[entry.node] = entry
+        if entry.state == "ready":
+            self.listed_at.pop(entry.node, None)
+        else:
+            self.listed_at.setdefault(entry.node, self.kernel.now)
+        self.changes = [*self.changes[-KEPT:], (self.version, entry)]
+        if self.down or self.silent:
+            return
+        waiting, self._watchers = self._watchers, []
+        for dispatcher, index, reply in waiting:
+            self._served(dispatcher, index, reply, True)
+
+    def noticed(self, entry: Entry) -> None:
+        """Something has happened to a node: the list has it some time later."""
+        self.kernel.after(self.draws.uniform(*self.notice), self.put, entry)
+
+    def call(self, dispatcher: int, index: Optional[int], wait: int, reply: Reply) -> None:
+        """`index` None: the whole list. Otherwise what is newer, waiting up to `wait` microseconds for it."""
+        self.calls += 1
+        last, out, _ = self.contact.get(dispatcher, (0, 0, False))
+        self.contact[dispatcher] = self.kernel.now, out + 1, False
+        if self.silent:
+            return
+        if self.down:
+            self._answer(dispatcher, reply, None)
+            return
+        begin = max(self.kernel.now, self._free)
+        if begin - self.kernel.now > self.patience:
+            self.kernel.after(self.patience, self._answer, dispatcher, reply, None)
+            return
+        self._free = begin + self.cost
+        self.kernel.at(self._free, self._begin, dispatcher, index, wait, reply)
+
+    def _begin(self, dispatcher: int, index: Optional[int], wait: int, reply: Reply) -> None:
+        if self.silent:
+            return
+        if self.down:
+            self._answer(dispatcher, reply, None)
+        elif index is None or index < self.version:
+            self._served(dispatcher, index, reply, False)
+        else:
+            watch = (dispatcher, index, reply)
+            self._watchers.append(watch)
+            self.kernel.after(wait, self._waited, watch)
+
+    def _waited(self, watch: Tuple[int, int, Reply]) -> None:
+        if watch in self._watchers:
+            self._watchers.remove(watch)
+            if not self.silent:
+                self._served(watch[0], watch[1], watch[2], True)
+
+    def _served(self, dispatcher: int, index: Optional[int], reply: Reply, late: bool) -> None:
+        kept = [e for v, e in self.changes if index is not None and v > index]
+        if index is None or self.version - index > len(kept):
+            self._answer(dispatcher, reply, Answer(self.version, True, tuple(self.entries.values())))
+        else:
+            newest = {e.node: e for e in kept}
+            self._answer(dispatcher, reply, Answer(self.version, False, tuple(newest.values())))
+
+    def _answer(self, dispatcher: int, reply: Reply, answer: Optional[Answer]) -> None:
+        self.failed += answer is None
+        _, out, _ = self.contact.get(dispatcher, (0, 1, False))
+        self.contact[dispatcher] = self.kernel.now, max(out - 1, 0), answer is None
+        reply(answer)
+
+    def forget(self, dispatcher: int) -> None:
+        """A dispatcher has died: its watches are void."""
+        self._watchers = [w for w in self._watchers if w[0] != dispatcher]
+        self.contact[dispatcher] = self.kernel.now, 0, False
+
+    def outage(self, on: bool) -> None:
+        """Down: watches end in failure, and calls fail at once."""
+        self.down = on
+        if on:
+            waiting, self._watchers = self._watchers, []
+            for dispatcher, _, reply in waiting:
+                self._answer(dispatcher, reply, None)
+
+    def mute(self, on: bool) -> None:
+        """Silent death: nothing is answered any more, and nothing ends."""
+        self.silent = on
+        if on:
+            self._watchers = []
+
+    def counts_as_told(self, dispatcher: int, node: str, ask_within: int) -> Optional[int]:
+        """Since when a dispatcher that neither watches nor asks counts as told that a node is not ready; None: it
+        does not (the platform's third rule)."""
+        listed = self.listed_at.get(node)
+        last, out, failed = self.contact.get(dispatcher, (0, 0, False))
+        if listed is None or out:
+            return None
+        told = max(last, listed) + ask_within * (4 if failed else 1)
+        return told if told <= self.kernel.now else None
--- /dev/null
+++ b/badgerroad/emulator/virtual.py
@@ -0,0 +1,504 @@
+"""Decision modules in virtual time: each dispatcher is a machine of its own that shares nothing with the others.
+
+A machine does what `badgerroad/dispatcher.py` and the rooms round it do on sockets, with the same time limits,
+and nothing else: which node, whether again and what to refuse is the module's.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from functools import partial
+from json import dumps
+from pathlib import Path
+from time import perf_counter
+from typing import Any, Callable, Deque, Dict, List, Optional, Protocol, Tuple
+
+from badgerroad.emulator import report
+from badgerroad.emulator import scenario as sc
+from badgerroad.emulator.model import nodes
+from badgerroad.emulator.model.clients import BROKEN, UNREACHABLE, Try
+from badgerroad.emulator.model.kernel import SEC, Entry
+from badgerroad.emulator.model.network import CLIENTS
+from badgerroad.emulator.model.nodes import Job, RenderNode
+from badgerroad.emulator.model.referee import FAILED, REFUSED, SERVED
+from badgerroad.emulator.model.referee import Leg as SeenLeg
+from badgerroad.emulator.model.registry import Answer
+from badgerroad.emulator.world import Trace, World
+from heathcrank import interface as i
+from heathcrank.brain import Dispatcher
+from heathcrank.settings import settings_from
+
+# As the program has them: issuer/http.py and discovery/routing_table.py.
+ACCEPT_TIME, PROBE_TIME = 300_000, SEC
+WATCH_WAIT, CALL_TIME = 5 * SEC, 1_500_000
+DRAIN_LEAST = 800_000
+KEPT_IDLE = 64              # connections kept to one node
+
+
+class Decisions(Protocol):
+    """The module's interface, behind which baselines stand too."""
+
+    def handle(self, now: int, event: i.Event) -> List[i.Action]: ...
+
+
+Make = Callable[[i.Settings, int], Decisions]
+
+
+class Leg:
+    __slots__ = ("number", "node", "over", "accepted", "heard", "started", "timer", "accept", "seen", "job", "sent",
+                 "fresh", "life")
+
+    def __init__(self, number: int, node: RenderNode, sent: int) -> None:
+        self.number, self.node, self.sent = number, node, sent
+        self.over = self.accepted = self.heard = self.started = self.fresh = False
+        self.timer: Optional[Entry] = None
+        self.accept: Optional[Entry] = None
+        self.seen: Optional[SeenLeg] = None
+        self.job: Optional[Job] = None
+        self.life = 0
+
+
+class Open:
+    __slots__ = ("number", "attempt", "legs", "answered", "out", "deadline")
+
+    def __init__(self, number: int, attempt: Try, deadline: int) -> None:
+        self.number, self.attempt, self.deadline = number, attempt, deadline
+        self.legs: List[Leg] = []
+        self.answered, self.out = False, 0
+
+
+class Machine:
+    """One dispatcher. A kill makes all that it held void; a start makes a new life."""
+
+    def __init__(self, world: VirtualWorld, number: int, make: Make) -> None:
+        self.world, self.number, self.make = world, number, make
+        self.kernel, self.hall = world.kernel, world.home[number]
+        self.settings = settings_from(dumps(sc.settings_of(world.scenario, number, self.hall)).encode())
+        self.life, self.up, self.frozen, self.draining = 0, False, False, False
+        self.list: Tuple[Any, ...] = tuple(world.registry.entries.values())
+        self._backlog: Deque[Callable[[], None]] = deque()
+
+    def start(self) -> None:
+        self.life += 1
+        self.up, self.draining, self.ready, self.frozen = True, False, False, False
+        self.decisions = self.make(self.settings, self.world.seed * 1000 + self.number * 16 + self.life)
+        self.requests: Dict[int, Open] = {}
+        self.by_id: Dict[str, Open] = {}
+        self.busy: Dict[Tuple[str, str], Leg] = {}
+        self.idle: Dict[str, List[Tuple[int, int]]] = {}   # node: (its life, last used)
+        self._count, self._line, self._handling, self._watching = 0, deque[i.Event](), False, False
+        self._backlog.clear()
+        self.feed(i.WorkerList(i.CACHED, 0, self._infos(self.list)))
+
+    def kill(self) -> None:
+        self.up, self.frozen = False, False
+        self.life += 1
+        requests, self.requests = self.requests, {}
+        for request in requests.values():
+            if not request.answered:
+                self.world.clients.ended(request.attempt, BROKEN)
+            for leg in request.legs:
+                if not leg.over:
+                    leg.over = True   # its connection breaks; a job that a node has accepted runs on
+        for name, kept in self.idle.items():
+            for _ in kept:
+                self.world.by_name[name].disconnect()
+
+    def freeze(self, on: bool) -> None:
+        """While stopped nothing is handled; then all of it, in the order in which it came."""
+        self.frozen = on and self.up
+        while not self.frozen and self._backlog:
+            self._backlog.popleft()()
+
+    def later(self, delay: Optional[int], call: Callable[..., None], *args: Any) -> None:
+        """Play something in this life, once it is awake; a vanished message never."""
+        if delay is not None:
+            self.kernel.after(delay, self._play, self.life, partial(call, *args))
+
+    def _play(self, life: int, call: Callable[[], None]) -> None:
+        if life != self.life or not self.up:
+            return
+        if self.frozen:
+            self._backlog.append(call)
+        else:
+            call()
+
+    # The module.
+
+    def feed(self, event: i.Event) -> None:
+        self._line.append(event)
+        if self._handling:
+            return
+        self._handling = True
+        try:
+            while self._line:
+                for action in self.decisions.handle(self.kernel.now + self.world.start, self._line.popleft()):
+                    self._perform(action)
+        finally:
+            self._handling = False
+
+    def _perform(self, a: i.Action) -> None:
+        if isinstance(a, i.SetTimer):
+            self.later(a.delay, self.feed, i.Timer(a.token))
+        elif isinstance(a, i.Send):
+            self._send(a)
+        elif isinstance(a, i.Refuse):
+            wait = min(a.retry_after, self.settings.max_retry_after) if self.settings.retry_after else 0
+            self._answer(self.requests.get(a.request), REFUSED, wait)
+        elif isinstance(a, i.Fail):
+            self._answer(self.requests.get(a.request), FAILED)
+        elif isinstance(a, i.Cancel):
+            request = self.requests.get(a.request)
+            if request and a.attempt < len(request.legs):
+                self._give_up(request, request.legs[a.attempt], i.CANCELLED)
+        elif isinstance(a, i.Subscribe):
+            if a.on and not self._watching:
+                self._watching = True
+                self._call(None)
+        elif isinstance(a, i.Probe):
+            self._probe(self.world.by_name[str(a.worker)])
+        elif isinstance(a, i.CloseIdle):
+            for _ in self.idle.pop(str(a.worker), []):
+                self.world.by_name[str(a.worker)].disconnect()
+
+    # Clients.
+
+    def take(self, attempt: Try) -> None:
+        self._count += 1
+        job, left = attempt.job, attempt.deadline - self.kernel.now
+        self.world.referee.took(attempt.id, job.key, job.class_index, self.number, attempt.deadline)
+        request = self.requests[self._count] = self.by_id[attempt.id] = Open(self._count, attempt, attempt.deadline)
+        self.later(max(left - self.settings.tick, 0), self._answer, request, FAILED)
+        self.feed(i.Request(request.number, job.class_index, 0, 0, max(left // 1000 * 1000, 1000), job.hint,
+                            float(job.slots), job.memory, job.tries > 1 and self.settings.marks_retry))
+
+    def client_gone(self, attempt: Try) -> None:
+        request = self.by_id.get(attempt.id)
+        if request and not request.answered:
+            request.answered = True
+            self.feed(i.ClientGone(request.number))
+            self._settle(request)
+
+    def _answer(self, request: Optional[Open], kind: str, wait: int = 0) -> None:
+        if request is None or request.answered:
+            return
+        request.answered = True
+        self.world.answered(request.attempt, kind, wait)
+        self._settle(request)
+
+    def _settle(self, request: Open) -> None:
+        if request.answered and not request.out:
+            self.requests.pop(request.number, None)
+            self.by_id.pop(request.attempt.id, None)
+
+    @property
+    def owed(self) -> bool:
+        return any(not r.answered for r in self.requests.values())
+
+    # Legs.
+
+    def _send(self, a: i.Send) -> None:
+        request, now = self.requests[a.request], self.kernel.now
+        node = self.world.by_name[str(a.worker)]
+        leg = Leg(len(request.legs), node, now)
+        request.legs.append(leg)
+        request.out += 1
+        key = request.attempt.id, node.name
+        left = request.deadline - now
+        left = min(left, a.timeout) if a.timeout else left
+        if request.answered or leg.number >= self.settings.max_attempts or key in self.busy or left <= 0:
+            self._leg_over(request, leg, i.MOOT)
+            return
+        self.busy[key] = leg
+        leg.timer = self.kernel.after(left, self._play, self.life,
+                                      partial(self._give_up, request, leg, i.TIMEOUT))
+        idle = self.idle.get(node.name)
+        leg.fresh = True
+        while idle and leg.fresh:
+            life, used = idle.pop()
+            leg.fresh = life != node.since or not node.up or now - used > self.settings.connection_idle * 3 // 4
+        leg.life = node.since
+        delay = self.world.network.delay(self.hall, node.hall)
+        back = self.world.network.delay(node.hall, self.hall)
+        if leg.fresh:
+            trips = self.world.scenario.network.handshake_trips
+            if delay is None or back is None or node.silent:
+                self.later(self.settings.connect_timeout or SEC, self._connect_failed, request, leg)
+                return
+            self.world.referee.handshakes += 1
+            delay = delay + int((delay + back) * trips / 2)
+        if request.attempt.job is not None and self.settings.classes[request.attempt.job.class_index].semantics != (
+                i.UNSAFE):
+            leg.accept = self.kernel.after((delay or 0) + ACCEPT_TIME, self._play, self.life,
+                                           partial(self._unheard, request, leg))
+        if delay is not None:
+            self.kernel.after(delay, self.world.leg_arrives, self, request, leg)
+
+    def _connect_failed(self, request: Open, leg: Leg) -> None:
+        self.leg_ended(request, leg, i.CONNECT_FAILED)
+
+    def _unheard(self, request: Open, leg: Leg) -> None:
+        if not leg.over and not leg.accepted and not leg.heard:
+            self._give_up(request, leg, i.TIMEOUT)
+
+    def accepted(self, leg: Leg) -> None:
+        leg.accepted = True
+
+    def called_back(self, request: Open, leg: Leg, state: str, share: float) -> None:
+        if leg.over:
+            return
+        leg.heard = True
+        if state == nodes.STARTED:
+            if not leg.started:
+                leg.started = True
+                self.feed(i.Started(request.number, leg.number, leg.node.name))
+        elif state == nodes.RUNNING:
+            self.feed(i.Progress(request.number, leg.number, leg.node.name, share))
+        else:
+            result = {nodes.DONE: i.OK, nodes.FAILED: i.ERROR, nodes.RETURNED: i.FULL, nodes.LOST: i.RESET}[state]
+            self.leg_ended(request, leg, result)
+
+    def leg_ended(self, request: Open, leg: Leg, result: str) -> None:
+        """A node, or the network, has ended a leg."""
+        if leg.over:
+            return
+        if result != i.CONNECT_FAILED:
+            kept = self.idle.setdefault(leg.node.name, [])
+            if leg.life == leg.node.since and len(kept) < KEPT_IDLE:
+                kept.append((leg.life, self.kernel.now))
+        if result == i.OK:
+            self._answer(request, SERVED)
+        self._leg_over(request, leg, result)
+
+    def _give_up(self, request: Open, leg: Leg, result: str) -> None:
+        """Stop waiting, and tell the node so."""
+        if leg.over:
+            return
+        delay = self.world.network.delay(self.hall, leg.node.hall)
+        if delay is not None:
+            self.kernel.after(delay, self.world.leg_cancelled, self, request.attempt.id, leg)
+        self.world.referee.leg_over(leg.seen, False)
+        self._leg_over(request, leg, result)
+
+    def _leg_over(self, request: Open, leg: Leg, result: str) -> None:
+        """The one place where a leg is given back."""
+        leg.over = True
+        for timer in (leg.timer, leg.accept):
+            if timer is not None:
+                timer.cancel()
+        if self.busy.get((request.attempt.id, leg.node.name)) is leg:
+            del self.busy[request.attempt.id, leg.node.name]
+        request.out -= 1
+        self.world.note("leg", id=request.attempt.id, dispatcher=self.number, node=leg.node.name, result=result)
+        self.feed(i.Outcome(request.number, leg.number, leg.node.name, result, self.kernel.now - leg.sent,
+                            request.answered, None))
+        self._settle(request)
+
+    # Discovery and probes.
+
+    def _infos(self, entries: Tuple[Any, ...]) -> Tuple[i.WorkerInfo, ...]:
+        return tuple(i.WorkerInfo(e.node, e.state, e.since, e.kind, e.hall, e.rack, e.weight) for e in entries)
+
+    def _call(self, index: Optional[int]) -> None:
+        wait = 0 if index is None else WATCH_WAIT
+        done = [False]
+
+        def reply(answer: Optional[Answer]) -> None:
+            # Written now; read one trip later.
+            if answer is not None and self.up:
+                self.world.told(self.number, answer)
+            self.later(self.world.network.delay(self.hall, self.hall), heard, answer)
+
+        def heard(answer: Optional[Answer]) -> None:
+            if done[0]:
+                return
+            done[0] = True
+            if answer is None:
+                self._discovery_failed()
+                return
+            scope = i.WHOLE if answer.whole else i.CHANGES
+            known = {} if answer.whole else {e.node: e for e in self.list}
+            known.update((e.node, e) for e in answer.entries)
+            self.list = tuple(e for e in known.values() if e.state != "gone")
+            self._be_ready()
+            self.feed(i.WorkerList(scope, answer.version, self._infos(answer.entries)))
+            self._call(answer.version)
+
+        def late() -> None:
+            if not done[0]:
+                done[0] = True
+                self._discovery_failed()
+
+        self.later(wait + CALL_TIME, late)
+        life = self.life
+
+        def arrives() -> None:
+            if life == self.life:
+                self.world.registry.call(self.number, index, wait, reply)
+        delay = self.world.network.delay(self.hall, self.hall)
+        if delay is not None:
+            self.kernel.after(delay, arrives)
+
+    def _discovery_failed(self) -> None:
+        self._watching = False
+        self._be_ready()
+        self.feed(i.WorkerList(i.FAILED))
+
+    def _be_ready(self) -> None:
+        if not self.ready:
+            self.ready = True
+            if not self.draining:
+                self.world.dispatcher_ready(self.number)
+
+    def _probe(self, node: RenderNode) -> None:
+        sent, there = self.kernel.now, self.world.network.delay(self.hall, node.hall)
+        back = self.world.network.delay(node.hall, self.hall)
+        self.world.referee.probes += 1
+        if there is None or back is None or not node.up or node.silent:
+            result = i.CONNECT_FAILED if not node.up else i.TIMEOUT
+            self.later(2000 if not node.up else PROBE_TIME,
+                       lambda: self.feed(i.ProbeResult(node.name, result, self.kernel.now - sent)))
+            return
+
+        def arrives() -> None:
+            load = node.probe()
+            values = None if load is None else (load["qps"], load["inflight"], load["x0"], load["x1"])
+            self.later(back, lambda: self.feed(i.ProbeResult(
+                node.name, i.CONNECT_FAILED if values is None else i.OK, self.kernel.now - sent, values)))
+        self.kernel.after(there, arrives)
+
+
+class VirtualWorld(World):
+    """The world with machines in it."""
+
+    def __init__(self, scenario: sc.Scenario, seed: int, folder: Path, make: Make,
+                 trace: Optional[Trace] = None) -> None:
+        self.legs: Dict[Tuple[str, str, int], Tuple[Machine, Open, Leg]] = {}
+        super().__init__(scenario, seed, folder, lambda world: VirtualTier(world, make), trace=trace)
+
+    def answered(self, attempt: Try, kind: str, wait: int) -> None:
+        """A machine has written an answer."""
+        self.referee.answered(attempt.id, kind, self.result_of(attempt.id) if kind == SERVED else "")
+        self.note("answer", id=attempt.id, kind=kind)
+        delay = self.network.delay(self.home[attempt.dispatcher], CLIENTS)
+        if delay is not None:
+            self.kernel.after(delay, self.clients.ended, attempt, kind, wait)
+
+    def leg_arrives(self, machine: Machine, request: Open, leg: Leg) -> None:
+        """The last byte of a leg is at its node."""
+        node, client = leg.node, request.attempt.job
+        if leg.fresh and not node.connect():
+            self._reply(machine, leg, partial(machine.leg_ended, request, leg, i.CONNECT_FAILED))
+            return
+        if not node.up:
+            self._reply(machine, leg, partial(machine.leg_ended, request, leg, i.RESET))
+            return
+        told = self.registry.counts_as_told(machine.number, node.name, self.referee.ask_within)
+        leg.seen = self.referee.leg(request.attempt.id, machine.number, node.name, node.hall, node.rack, leg.sent,
+                                    machine.hall, told)
+        job = leg.job = Job(request.attempt.id, client.key, client.class_index, machine.number, client.work,
+                            client.slots, client.memory, hand=(machine, request, leg, machine.life))
+        self.note("send", id=request.attempt.id, dispatcher=machine.number, node=node.name)
+        if leg.over:
+            self.referee.leg_over(leg.seen, False)   # called off while it was on its way
+        status = node.submit(job)
+        if status == nodes.ACCEPTED:
+            self._reply(machine, leg, partial(machine.accepted, leg))
+        elif status != nodes.SILENT:
+            result = {nodes.FULL: i.FULL, nodes.ERROR: i.ERROR, nodes.REFUSED: i.RESET}[status]
+            self.referee.leg_over(leg.seen, status == nodes.FULL)
+            self._reply(machine, leg, partial(machine.leg_ended, request, leg, result))
+
+    def _reply(self, machine: Machine, leg: Leg, call: Callable[[], None]) -> None:
+        machine.later(self.network.delay(leg.node.hall, machine.hall), call)
+
+    def leg_cancelled(self, machine: Machine, request_id: str, leg: Leg) -> None:
+        job = leg.node.jobs.get(request_id)
+        if job is not None and job is leg.job:
+            leg.node.cancel(request_id, machine.number)
+
+    def told(self, dispatcher: int, answer: Answer) -> None:
+        self.referee.tell(dispatcher, answer.whole, [(e.node, e.state, e.since) for e in answer.entries])
+
+
+class VirtualTier:
+    """The machines, as the world knows dispatchers."""
+
+    def __init__(self, world: World, make: Make) -> None:
+        assert isinstance(world, VirtualWorld)
+        self.world = world
+        self.machines = [Machine(world, n, make) for n in range(len(world.home))]
+
+    def submit(self, attempt: Try) -> None:
+        machine = self.machines[attempt.dispatcher]
+        delay = self.world.network.delay(CLIENTS, machine.hall) or 0
+        self.world.kernel.after(delay, self._arrives, machine, attempt)
+
+    def _arrives(self, machine: Machine, attempt: Try) -> None:
+        if attempt.over:
+            return
+        if not machine.up:
+            self.world.clients.ended(attempt, UNREACHABLE)
+        else:
+            machine._play(machine.life, partial(machine.take, attempt))
+
+    def abandon(self, attempt: Try) -> None:
+        machine = self.machines[attempt.dispatcher]
+        if attempt.until < attempt.deadline:
+            self.world.referee.left(attempt.id)
+        slack = self.world.referee.slack if attempt.until >= attempt.deadline else 0
+        machine.later(slack + (self.world.network.delay(CLIENTS, machine.hall) or 0), machine.client_gone, attempt)
+
+    def tell(self, node: RenderNode, job: Job, state: str, share: float) -> None:
+        hand: Any = job.hand
+        machine, request, leg, life = hand
+        if state not in (nodes.STARTED, nodes.RUNNING):
+            self.world.referee.leg_over(leg.seen, state == nodes.RETURNED)
+        delay = self.world.network.delay(node.hall, machine.hall)
+        if delay is not None and life == machine.life:
+            machine.later(delay, machine.called_back, request, leg, state, share)
+
+    def node_gone(self, node: RenderNode) -> None:
+        for machine in self.machines:
+            if machine.up:
+                machine.idle.pop(node.name, None)
+
+    def start(self, number: int) -> None:
+        if not self.machines[number].up:
+            self.machines[number].start()
+
+    def kill(self, number: int) -> None:
+        if self.machines[number].up:
+            self.machines[number].kill()
+
+    def stop(self, number: int) -> None:
+        machine = self.machines[number]
+        machine.draining = True
+        machine.later(DRAIN_LEAST, self._maybe_exit, machine)
+
+    def _maybe_exit(self, machine: Machine) -> None:
+        if machine.owed:
+            machine.later(20_000, self._maybe_exit, machine)
+        else:
+            machine.kill()
+
+    def freeze(self, number: int, on: bool) -> None:
+        self.machines[number].freeze(on)
+
+    def reload(self, number: int) -> None:
+        """Nothing that a module would notice."""
+
+    def is_up(self, number: int) -> bool:
+        return self.machines[number].up
+
+
+def run(scenario: sc.Scenario, seed: int, folder: Path, make: Make = Dispatcher,
+        trace: Optional[Trace] = None) -> report.Report:
+    """One virtual run from start to end."""
+    began = perf_counter()
+    world = VirtualWorld(scenario, seed, folder, make, trace)
+    for number in range(len(world.home)):
+        world.tier.start(number)
+    world.begin()
+    world.kernel.run(world.end)
+    return report.of(world, perf_counter() - began)
--- a/badgerroad/issuer/http.py
+++ b/badgerroad/issuer/http.py
@@ -8,16 +8,15 @@
 
 import asyncio
 import json
-import logging
 import math
 from typing import Any, Callable, Dict, List, Optional, Tuple
 
-from badgerroad.net import http1
+from badgerroad.net import http1, logs
 from badgerroad.net.connection import Address, Broken, CallConnection, Descriptors, NoDescriptor, spawn
 from badgerroad.net.wheel import Timer, Wheel
 from heathcrank import interface as i
 
-log = logging.getLogger("badgerroad")
+log = logs.get("badgerroad")
 
 # A host answers 202 as soon as it has the job, whether or not it can start it: within 26 ms in 266 cases measured. One
 # that has said nothing by then has vanished or is cut off, which no end of a connection shows.
@@ -105,11 +104,13 @@
         try:
             await self._run_leg(leg, host, until, accept_time)
         except NoDescriptor as e:
-            log.warning("leg %s at %s: %s", leg.order.id.decode("latin-1"), leg.worker, e)
+            log.warning("leg not sent", request=leg.order.id.decode("latin-1"), leg=leg.number, host=leg.worker,
+                        why=str(e))
             self._end(leg, i.MOOT)   # a failed connection would strike a healthy host
         except Broken as e:
             if not leg.over:
-                log.info("leg %s at %s: %s", leg.order.id.decode("latin-1"), leg.worker, e)
+                log.info("leg broken", request=leg.order.id.decode("latin-1"), leg=leg.number, host=leg.worker,
+                         why=str(e))
             self._end(leg, i.RESET if e.sent else i.CONNECT_FAILED)
         except Exception:
             self._end(leg, i.RESET)
@@ -187,7 +188,7 @@
         try:
             await self._short_call(host, b"DELETE", b"/jobs/" + request_id, DELETE_TIME)
         except Broken as e:
-            log.info("cancel of %s at %s: %s", request_id.decode("latin-1"), host.name, e)
+            log.info("cancel failed", request=request_id.decode("latin-1"), host=host.name, why=str(e))
         finally:
             host.cancelling.pop(request_id).set_result(None)
 
--- /dev/null
+++ b/badgerroad/lab/compare.py
@@ -0,0 +1,51 @@
+"""Do two variants differ? Paired by seed, with a bootstrap interval of the mean difference."""
+
+from __future__ import annotations
+
+from typing import Dict, List, NamedTuple, Tuple
+
+import numpy as np
+
+from badgerroad.emulator.report import Report
+
+RESAMPLES, LEVEL = 10_000, 0.95
+
+
+class Comparison(NamedTuple):
+    """`difference` is the mean of A - B over the seeds that both have; `low` and `high` bound it."""
+    seeds: int
+    mean_a: float
+    mean_b: float
+    difference: float
+    low: float
+    high: float
+
+    @property
+    def verdict(self) -> str:
+        if self.low > 0:
+            return "A is better"
+        return "B is better" if self.high < 0 else "no difference shown"
+
+
+def interval(values: List[float], seed: int = 1) -> Tuple[float, float]:
+    """Percentile bootstrap interval of the mean at LEVEL (Efron 1979); its draws have a seed of their own."""
+    if not values:
+        return 0.0, 0.0
+    data = np.asarray(values)
+    draws = np.random.default_rng(seed).integers(0, len(data), size=(RESAMPLES, len(data)))
+    low, high = np.quantile(data[draws].mean(axis=1), [(1 - LEVEL) / 2, (1 + LEVEL) / 2])
+    return float(low), float(high)
+
+
+def compare(a: Dict[int, Report], b: Dict[int, Report], measure: str = "figure") -> Comparison:
+    """Raises ValueError where no seed is common or no such measure exists."""
+    if measure not in ("figure", "worth", "worst_class", "worst_window"):
+        raise ValueError(f"--measure: unknown: {measure!r}")
+    seeds = sorted(set(a) & set(b))
+    if not seeds:
+        raise ValueError("the two variants have no seed in common")
+    pairs = [(float(getattr(a[s], measure)), float(getattr(b[s], measure))) for s in seeds]
+    differences = [x - y for x, y in pairs]
+    low, high = interval(differences)
+    return Comparison(len(seeds), sum(x for x, _ in pairs) / len(pairs), sum(y for _, y in pairs) / len(pairs),
+                      sum(differences) / len(pairs), low, high)
--- /dev/null
+++ b/badgerroad/lab/report.py
@@ -0,0 +1,91 @@
+"""Reports of an experiment: a table in Markdown, a chart as PNG, and both in one HTML page that opens offline."""
+
+from __future__ import annotations
+
+from base64 import b64encode
+from pathlib import Path
+from typing import Dict, List, Tuple
+
+from jinja2 import Environment, PackageLoader, select_autoescape
+
+from badgerroad.emulator.report import Report
+from badgerroad.lab.compare import interval
+from badgerroad.lab.experiment import Run
+
+HEADS = ("variant", "seeds", "figure", "interval", "worth", "worst class", "served", "refused", "failed", "falls",
+         "breaches")
+
+
+def grouped(rows: List[Tuple[int, Run, Report]]) -> Dict[Tuple[str, str], List[Report]]:
+    """Reports by (scenario with settings, policy)."""
+    groups: Dict[Tuple[str, str], List[Report]] = {}
+    for _, run, report in rows:
+        scene = Path(run.scenario).stem + (f" {run.settings}" if run.settings != "{}" else "")
+        groups.setdefault((scene, run.policy), []).append(report)
+    return groups
+
+
+def _mean(values: List[float]) -> float:
+    return sum(values) / len(values)
+
+
+def table(groups: Dict[Tuple[str, str], List[Report]]) -> List[List[str]]:
+    out = []
+    for (scene, policy), reports in groups.items():
+        figures = [r.figure for r in reports]
+        low, high = interval(figures)
+        out.append([f"{scene} / {policy}", str(len(reports)), f"{_mean(figures):.3f}", f"{low:.3f} to {high:.3f}",
+                    f"{_mean([r.worth for r in reports]):.3f}", f"{_mean([r.worst_class for r in reports]):.3f}",
+                    *(f"{_mean([float(n) for n in ns]):.1f}" for ns in (
+                        [r.served for r in reports], [r.refused for r in reports], [r.failed for r in reports])),
+                    str(sum(r.falls for r in reports)), str(sum(sum(r.breaches_by_rule.values()) for r in reports))])
+    return out
+
+
+def markdown(rows: List[List[str]]) -> str:
+    lines = ["| " + " | ".join(HEADS) + " |", "| --- |" + " ---: |" * (len(HEADS) - 1)]
+    return "\n".join(lines + ["| " + " | ".join(row) + " |" for row in rows]) + "\n"
+
+
+def chart(groups: Dict[Tuple[str, str], List[Report]], path: Path) -> None:
+    """Bars of the mean figure by scenario, one colour a policy, with intervals."""
+    import matplotlib
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+    scenes = list(dict.fromkeys(s for s, _ in groups))
+    policies = list(dict.fromkeys(p for _, p in groups))
+    figure, axes = pyplot.subplots(figsize=(max(7.0, 1.1 * len(scenes) + 2), 4.8))
+    width = 0.8 / max(len(policies), 1)
+    for k, policy in enumerate(policies):
+        at, height, low, high = [], [], [], []
+        for n, scene in enumerate(scenes):
+            reports = groups.get((scene, policy))
+            if reports:
+                values = [r.figure for r in reports]
+                mean, bounds = _mean(values), interval(values)
+                at.append(n + (k - (len(policies) - 1) / 2) * width)
+                height.append(mean)
+                low.append(max(mean - bounds[0], 0.0))
+                high.append(max(bounds[1] - mean, 0.0))
+        axes.bar(at, height, width, yerr=[low, high], label=policy, error_kw={"linewidth": 0.8})
+    axes.set_xticks(range(len(scenes)), scenes, rotation=25, ha="right")
+    axes.set_ylabel("figure (served worth, weighed, less prices)")
+    axes.set_ylim(bottom=min(0.0, axes.get_ylim()[0]), top=1.02)
+    axes.legend(ncols=min(len(policies), 7), fontsize=8, loc="lower center", bbox_to_anchor=(0.5, 1.0))
+    figure.tight_layout()
+    figure.savefig(path, dpi=110)
+    pyplot.close(figure)
+
+
+def write(name: str, about: str, rows: List[Tuple[int, Run, Report]], out: Path) -> List[Path]:
+    """The three files of an experiment; where they are."""
+    out.mkdir(parents=True, exist_ok=True)
+    groups = grouped(rows)
+    cells = table(groups)
+    png, md, html = (out / f"{name}.{end}" for end in ("png", "md", "html"))
+    chart(groups, png)
+    md.write_text(markdown(cells))
+    environment = Environment(loader=PackageLoader("badgerroad.lab", "."), autoescape=select_autoescape(["html", "j2"]))
+    html.write_text(environment.get_template("report.html.j2").render(
+        name=name, about=about, heads=HEADS, rows=cells, chart=b64encode(png.read_bytes()).decode()))
+    return [html, png, md]
--- /dev/null
+++ b/badgerroad/lab/store.py
@@ -0,0 +1,68 @@
+"""Results in one SQLite file. A run is stored once, whole, when it is done: stopped and resumed, none is lost or
+played twice."""
+
+from __future__ import annotations
+
+import sqlite3
+from pathlib import Path
+from typing import Dict, List, Optional, Set, Tuple
+
+import msgspec
+
+from badgerroad.emulator.report import Report
+from badgerroad.lab.experiment import Run
+
+VERSION = 1
+SCHEMA = """
+create table if not exists runs (
+    id integer primary key, experiment text not null, scenario text not null, policy text not null,
+    settings text not null, seed integer not null, folder text not null, report blob not null,
+    unique (experiment, scenario, policy, settings, seed))
+"""
+
+
+class Store:
+    def __init__(self, path: Path) -> None:
+        """Raises ValueError on a file of another version."""
+        self.connection = sqlite3.connect(path)
+        version = self.connection.execute("pragma user_version").fetchone()[0]
+        if version not in (0, VERSION):
+            raise ValueError(f"{path}: a store of version {version}; this program reads version {VERSION}")
+        self.connection.execute(SCHEMA)
+        self.connection.execute(f"pragma user_version = {VERSION}")
+        self.connection.commit()
+
+    def put(self, run: Run, folder: str, report: Report) -> None:
+        with self.connection:
+            self.connection.execute(
+                "insert or ignore into runs (experiment, scenario, policy, settings, seed, folder, report) "
+                "values (?, ?, ?, ?, ?, ?, ?)", (*run, folder, msgspec.json.encode(report)))
+
+    def done(self, experiment: str) -> Set[Run]:
+        rows = self.connection.execute(
+            "select experiment, scenario, policy, settings, seed from runs where experiment = ?", (experiment,))
+        return {Run(*row) for row in rows}
+
+    def reports(self, experiment: Optional[str] = None) -> List[Tuple[int, Run, Report]]:
+        """All runs, or an experiment's, in the order of variant and seed."""
+        where, given = ("where experiment = ?", (experiment,)) if experiment else ("", ())
+        rows = self.connection.execute(
+            f"select id, experiment, scenario, policy, settings, seed, report from runs {where} "
+            "order by scenario, settings, policy, seed", given)
+        return [(row[0], Run(*row[1:6]), msgspec.json.decode(row[6], type=Report)) for row in rows]
+
+    def by_id(self, id: int) -> Tuple[Run, str, Report]:
+        """A run, the folder of its scenario and its report. Raises ValueError."""
+        row = self.connection.execute(
+            "select experiment, scenario, policy, settings, seed, folder, report from runs where id = ?",
+            (id,)).fetchone()
+        if row is None:
+            raise ValueError(f"no run {id} in the store")
+        return Run(*row[:5]), row[5], msgspec.json.decode(row[6], type=Report)
+
+    def variants(self, variant: str) -> Dict[int, Report]:
+        """By seed, the reports of a variant named scenario/policy, as `Run.variant` writes it. The newest wins."""
+        return {run.seed: report for _, run, report in self.reports() if run.variant == variant}
+
+    def close(self) -> None:
+        self.connection.close()
--- a/badgerroad/net/connection.py
+++ b/badgerroad/net/connection.py
@@ -6,17 +6,17 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import socket
 from typing import Any, Coroutine, Optional, Set, Tuple
 
 from tornado.iostream import IOStream, StreamClosedError
 
+from badgerroad.net import logs
 from badgerroad.net.http1 import RING_LIMIT, BadMessage, Message, Parser
 from badgerroad.net.ring import Ring
 
 Address = Tuple[str, int]
-log = logging.getLogger("badgerroad")
+log = logs.get("badgerroad")
 # What is read only to be thrown away, of all connections: at 4 KiB each, 60 MB took 15,000 turns of the loop.
 _WASTE = bytearray(64 * 1024)
 _tasks: Set["asyncio.Task[None]"] = set()
--- /dev/null
+++ b/badgerroad/net/logs.py
@@ -0,0 +1,84 @@
+"""Structured logs on structlog: one event a line with its fields, as `key=value` text or as JSON lines.
+
+Fields used throughout: `request` (its id), `leg` (number), `host`, `hall`, `cls`, `status`, `ms`. What libraries
+say through the standard library's logging goes the same way, with `logger` naming them.
+"""
+
+from __future__ import annotations
+
+import logging
+import sys
+from typing import Any, NamedTuple
+
+_rich = sys.modules.get("rich")
+if _rich is None:
+    # structlog.dev imports rich where that is installed: 2 MB and a tenth of the start for tracebacks in colour.
+    sys.modules["rich"] = None  # type: ignore[assignment]
+import structlog  # noqa: E402
+
+if _rich is None:
+    del sys.modules["rich"]
+
+LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING, "error": logging.ERROR}
+
+
+class Choice(NamedTuple):
+    """How to log: `format` console or json, `level` debug, info, warning or error."""
+    format: str = "console"
+    level: str = "info"
+
+
+def _text(_logger: Any, _name: str, event: structlog.typing.EventDict) -> str:
+    """`12:00:00.123 info event key=value ...`; structlog's console renderer takes seven times as long."""
+    head = f"{event.pop('at')} {event.pop('level')} {event.pop('event')}"
+    trace = event.pop("exception", None)
+    for key, value in event.items():
+        text = str(value)
+        head += f" {key}={text!r}" if " " in text or "\n" in text else f" {key}={text}"
+    return head if trace is None else f"{head}\n{trace}"
+
+
+def _json(_logger: Any, _name: str, event: structlog.typing.EventDict) -> str:
+    import msgspec
+    return msgspec.json.encode(event, enc_hook=str).decode()
+
+
+class _Forward(logging.Handler):
+    """The standard library's records, as events."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        fields = {"logger": record.name}
+        if record.exc_info:
+            fields["exception"] = logging.Formatter().formatException(record.exc_info)
+        structlog.get_logger().log(record.levelno, record.getMessage(), **fields)
+
+
+class _Stderr:
+    """Writes to whatever standard error is now. A log that nobody reads any more must not end the program."""
+
+    def msg(self, message: str) -> None:
+        try:
+            sys.stderr.write(message + "\n")
+            sys.stderr.flush()
+        except (OSError, ValueError):
+            pass
+
+    log = debug = info = warning = error = critical = failure = fatal = msg
+
+
+def configure(choice: Any = Choice(), debug: bool = False) -> None:
+    """Set format and level for the whole process; may be called again, on a reload."""
+    level = logging.DEBUG if debug else LEVELS[choice.level]
+    json = choice.format == "json"
+    structlog.configure(
+        processors=[structlog.processors.add_log_level, structlog.processors.format_exc_info,
+                    structlog.processors.TimeStamper(fmt="iso" if json else "%H:%M:%S.%f", utc=json, key="at"),
+                    _json if json else _text],
+        wrapper_class=structlog.make_filtering_bound_logger(level),
+        logger_factory=lambda *args: _Stderr(), cache_logger_on_first_use=False)
+    logging.basicConfig(level=max(level, logging.INFO), handlers=[_Forward()], force=True)
+
+
+def get(name: str) -> Any:
+    """A logger; events are words, everything that varies is a field."""
+    return structlog.get_logger()
--- a/badgerroad/net/wheel.py
+++ b/badgerroad/net/wheel.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import logging
 import time
 from typing import Callable, Dict, List, Optional, Protocol
 
+from badgerroad.net import logs
+
 TICK = 1_000   # microseconds
 SLOTS = 1_024
-log = logging.getLogger("badgerroad")
+log = logs.get("badgerroad")
 
 
 class Clock:
--- /dev/null
+++ b/badgerroad/operator/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's own file: schema and checked load."""
--- /dev/null
+++ b/badgerroad/operator/schema.py
@@ -0,0 +1,37 @@
+"""The operator's TOML file: every setting with default, unit and effect; docs/operate/settings.md lists them.
+
+What new subsystems need is added here as a table of its own. A file that is wrong is one line that names file and
+field; at a start the end (exit code 2), at a reload a line in the log while the old one stays in force.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Literal
+
+import msgspec
+
+from badgerroad.config import BadConfig
+
+
+class Log(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """`[log]`. Takes effect at the start and on SIGHUP."""
+    format: Literal["console", "json"] = "console"
+    level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+class Operator(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    log: Log = Log()
+
+
+def load(path: str) -> Operator:
+    """The file, checked. Raises BadConfig, whose one line names file, field and reason."""
+    try:
+        return msgspec.toml.decode(Path(path).read_bytes(), type=Operator)
+    except OSError as e:
+        raise BadConfig(f"{path}: {e.strerror}") from e
+    except msgspec.ValidationError as e:
+        reason, _, where = str(e).partition(" - at `")
+        raise BadConfig(f"{path}: {where.rstrip('`').lstrip('$.') or 'file'}: {reason}") from e
+    except (msgspec.DecodeError, ValueError) as e:
+        raise BadConfig(f"{path}: not TOML: {e}") from e
--- /dev/null
+++ b/badgerroad/serving.py
@@ -0,0 +1,93 @@
+"""`serve` and `check-config`: the life of a dispatcher process."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+from typing import Any, Optional
+
+from tornado.ioloop import IOLoop
+
+from badgerroad import __version__
+from badgerroad.config import BadConfig, Config, load, reload
+from badgerroad.dispatcher import Dispatcher
+from badgerroad.net import logs
+from badgerroad.net.wheel import Clock, Wheel
+
+log = logs.get("badgerroad")
+
+GRACE = 800_000     # after SIGTERM new connections keep coming for a while
+CHECK = 20_000
+OK, CANNOT_LISTEN, BAD_CONFIG = 0, 1, 2   # exit codes
+
+
+async def serve(config: Config, operator: Any, operator_file: Optional[str]) -> int:
+    wheel = Wheel(Clock(), IOLoop.current())
+    dispatcher = Dispatcher(config, wheel)
+    done = asyncio.Event()
+
+    def check(since: int) -> None:
+        if dispatcher.owed or wheel.clock.now() - since < GRACE:
+            wheel.after(CHECK, lambda: check(since))
+        else:
+            done.set()
+
+    def stop() -> None:
+        if not dispatcher.acquirers.draining:
+            log.info("stopping: answering what is owed")
+            dispatcher.drain()
+            check(wheel.clock.now())
+
+    def reread() -> None:
+        try:
+            fresh = reload(os.environ)
+            if operator_file is not None:
+                from badgerroad.operator.schema import load as load_operator
+                logs.configure(load_operator(operator_file).log)
+        except BadConfig as e:
+            log.error("reload failed; the old configuration stays in force", why=" ".join(str(e).split()))
+        else:
+            dispatcher.reload(fresh)
+
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop)
+    loop.add_signal_handler(signal.SIGHUP, reread)
+    try:
+        host, port = dispatcher.start()
+    except OSError as e:
+        print(f"badgerroad: listen: {config.listen[0]}:{config.listen[1]}: {e.strerror}", file=sys.stderr)
+        return CANNOT_LISTEN
+    log.info("listening", name=config.name, version=__version__, address=f"{host}:{port}",
+             discovery=f"{config.discovery[0]}:{config.discovery[1]}")
+    await done.wait()
+    # The loop's end restores what signals do by themselves: one that comes then must not turn the exit into a crash.
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
+    dispatcher.close()
+    log.info("stopped")
+    return OK
+
+
+def main(check_only: bool, operator_file: Optional[str], verbose: bool) -> int:
+    operator: Any = None
+    try:
+        if operator_file is not None:
+            # Not imported where no such file is given: it costs memory and a part of the start.
+            from badgerroad.operator.schema import load as load_operator
+            operator = load_operator(operator_file)
+        config = load(os.environ)
+    except BadConfig as e:
+        print(f"badgerroad: {' '.join(str(e).split())}", file=sys.stderr)
+        return BAD_CONFIG
+    if check_only:
+        print(f"{config.name}: {len(config.settings.classes)} classes, {len(config.known['hosts'])} known hosts, "
+              f"{config.sockets} sockets; listens on {config.listen[0]}:{config.listen[1]}")
+        if operator is not None:
+            print(f"{operator_file}: log {operator.log.format} at {operator.log.level}")
+        return OK
+    logs.configure(operator.log if operator is not None else logs.Choice(), debug=verbose)
+    gc.freeze()   # what start-up made stays: the collector need not look at it again
+    return asyncio.run(serve(config, operator, operator_file))
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,3 @@
+from badgerroad.net import logs
+
+logs.configure()
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -404,7 +404,7 @@
                 config.write_text(wrong)
                 process.send_signal(signal.SIGHUP)
                 line = b""
-                while b" ERROR reload: " not in line:
+                while b" error reload failed" not in line:
                     line = await process.stderr.readline()
                 assert field in line and not new.got
                 assert (await w.ask(b"GET /-/ready HTTP/1.1\r\n\r\n"))[0] == 200
@@ -543,7 +543,7 @@
 
 
 @story
-async def test_an_exception_in_the_module_is_logged_and_its_request_answered(caplog):
+async def test_an_exception_in_the_module_is_logged_and_its_request_answered(capsys):
     async with World(serve) as w:
         handle = w.dispatcher.decisions.handle
 
@@ -553,7 +553,8 @@
             return handle(now, event)
         w.dispatcher.decisions.handle = broken
         assert (await w.ask(job("r1")))[0] == 500
-        assert "Traceback" in caplog.text and "boom" in caplog.text
+        said = capsys.readouterr().err
+        assert "Traceback" in said and "boom" in said
         assert (await w.ask(job("r2")))[0] == 200
 
 
