Test the emulator's model, referee and scenarios

Need: later subsystems rest on the model, so its claims need tests that fail without it. Change: 73 tests of nodes, discovery, referee, determinism and scenarios; the naive policy stops after twice the attempts allowed.

--- a/badgerroad/lab/policies.py
+++ b/badgerroad/lab/policies.py
@@ -251,7 +251,7 @@
     """Keeps no rule: it sends to whatever was ever listed, and again wherever it likes."""
 
     def allowed(self, job: Job) -> List[Node]:
-        return list(self.nodes.values())
+        return list(self.nodes.values()) if len(job.legs) < 2 * self.settings.max_attempts else []
 
     def _list(self, e: i.WorkerList) -> None:
         super()._list(e)
--- /dev/null
+++ b/tests/test_emulator.py
@@ -0,0 +1,396 @@
+"""The model: nodes, discovery, network, referee, scenarios; and the same bytes for one seed."""
+
+import hashlib
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from badgerroad.emulator import scenario as sc
+from badgerroad.emulator import virtual
+from badgerroad.emulator.model import nodes
+from badgerroad.emulator.model.kernel import SEC, Draws, Kernel
+from badgerroad.emulator.model.nodes import ACCEPTED, FULL, Job, Profile, RenderNode
+from badgerroad.emulator.model.referee import ClassRule, Referee
+from badgerroad.emulator.model.registry import Entry, Registry
+from badgerroad.lab.policies import POLICIES
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+MS = 1000
+
+
+class Bed:
+    """One node on a kernel, and all that it told."""
+
+    def __init__(self, **profile):
+        self.kernel, self.told, self.fallen = Kernel(), [], []
+        p = Profile(**{"cores": 2, "speed": 1.0, "slots": 2, **profile})
+        self.node = RenderNode(self.kernel, "n", p, 0, 0, 0, Draws(1, "n"),
+                               lambda n, j, s, x: self.told.append((self.kernel.now, j.id, s)),
+                               lambda n, sent: self.fallen.append(sent), lambda n, s: None)
+
+    def ask(self, id, work=100 * MS, slots=1, memory=0.0, dispatcher=0):
+        return self.node.submit(Job(id, id, 0, dispatcher, work, slots, memory))
+
+    def when(self, id, state):
+        return [t // MS for t, j, s in self.told if (j, s) == (id, state)]
+
+
+def test_the_head_of_the_queue_waits_until_it_fits_and_nothing_overtakes_it():
+    bed = Bed()
+    assert [bed.ask("a"), bed.ask("big", slots=2), bed.ask("small")] == [ACCEPTED] * 3
+    bed.kernel.run(SEC)
+    assert (bed.when("a", "started"), bed.when("big", "started"), bed.when("small", "started")) == ([0], [100], [200])
+
+
+def test_memory_holds_a_job_back_as_slots_do():
+    bed = Bed(memory=2.0)
+    bed.ask("a", memory=1.5)
+    bed.ask("b", memory=1.0)
+    bed.kernel.run(SEC)
+    assert bed.when("b", "started") == [100]
+
+
+def test_more_slots_than_cores_share_them():
+    bed = Bed(cores=1, slots=2)
+    bed.ask("a", 100 * MS)
+    bed.kernel.run(50 * MS)
+    bed.ask("b", 100 * MS)
+    bed.kernel.run(SEC)
+    assert (bed.when("a", "done"), bed.when("b", "done")) == ([150], [200])
+
+
+@pytest.mark.parametrize("trouble, done", [(dict(slowness=4.0), 400), (dict(taken=0.5), 200), ({}, 100)])
+def test_troubles_stretch_what_runs(trouble, done):
+    bed = Bed()
+    bed.node.trouble(**trouble)
+    bed.ask("a")
+    bed.kernel.run(SEC)
+    assert bed.when("a", "done") == [done]
+
+
+def test_a_pause_stands_still_and_tells_no_progress():
+    bed = Bed(progress_every=50 * MS)
+    bed.ask("a", 120 * MS)
+    bed.kernel.run(10 * MS)
+    bed.node.pause(500 * MS)
+    bed.kernel.run(2 * SEC)
+    assert bed.when("a", "done") == [620] and bed.when("a", "running") == [550, 600]
+
+
+def test_crowding_costs_efficiency():
+    bed = Bed(crowd_at=2.0, crowd_loss=0.5)
+    for n in range(8):
+        bed.ask(f"j{n}")
+    bed.kernel.run(SEC)
+    assert bed.when("j0", "done")[0] > 190   # twice what it may hold: half the pace
+
+
+def test_a_cold_node_starts_at_its_share_and_warms():
+    bed = Bed(cold_from=0.25, cold_for=10 * SEC)
+    bed.kernel.run(SEC)
+    bed.node.kill()
+    bed.node.start()
+    began = bed.kernel.now
+    assert bed.node.warmth == 0.25
+    bed.ask("a", 100 * MS)
+    bed.kernel.run(began + 20 * SEC)
+    assert 350 < bed.when("a", "done")[0] - began // MS < 400 and bed.node.warmth == 1.0
+
+
+@pytest.mark.parametrize("jobs, falls", [(3, False), (40, True)])
+def test_a_cold_node_falls_over_from_too_much_and_stays_down(jobs, falls):
+    bed = Bed(cold_from=0.2, cold_for=10 * SEC, fall_multiple=3.0, overload_for=SEC)
+    bed.kernel.run(SEC)
+    bed.node.kill()
+    bed.node.start()
+    for n in range(jobs):
+        bed.ask(f"j{n}", dispatcher=n % 2)
+    assert bool(bed.fallen) == falls and bed.node.up != falls
+    bed.node.start()
+    assert bed.node.up != falls
+
+
+def test_a_silent_node_runs_on_and_tells_later_what_is_not_too_old():
+    bed = Bed()
+    bed.ask("a")
+    bed.kernel.run(10 * MS)
+    bed.node.silence(2 * SEC)
+    assert bed.ask("b") == nodes.SILENT and bed.node.probe() is None and not bed.node.cancel("a")
+    bed.kernel.run(3 * SEC)
+    assert bed.when("a", "done") == [2010]
+    bed.ask("c")
+    bed.node.silence(20 * SEC)
+    bed.kernel.run(60 * SEC)
+    assert not bed.when("c", "done")
+
+
+def test_a_death_loses_what_is_inside_and_a_drain_hands_back_what_has_not_started():
+    bed = Bed(returns_on_drain=True)
+    for n in "abc":
+        bed.ask(n)
+    bed.kernel.run(MS)
+    bed.node.drain()
+    assert bed.when("c", "returned") == [1] and bed.ask("d") == FULL
+    bed.node.kill()
+    assert bed.when("a", "lost") == bed.when("b", "lost") == [1] and bed.ask("e") == nodes.REFUSED
+
+
+def test_reports_are_late():
+    bed = Bed(slots=4, cores=4, reports_every=100 * MS, reports_late=300 * MS)
+    bed.node.probe()
+    bed.kernel.run(150 * MS)
+    bed.ask("a", 10 * SEC)
+    for until, free in ((200, 4.0), (400, 4.0), (700, 3.0)):
+        bed.kernel.run(until * MS)
+        assert bed.node.probe()["x0"] == free
+
+
+def test_handshakes_and_probes_take_work_from_jobs_where_no_core_is_free():
+    bed = Bed(cores=1, slots=1, handshake_work=20 * MS, probe_work=10 * MS, connections=2)
+    bed.ask("a")
+    assert [bed.node.connect() for _ in range(3)] == [True, True, False]
+    bed.node.probe()
+    bed.kernel.run(SEC)
+    assert bed.when("a", "done") == [150]
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.lists(st.tuples(st.sampled_from("scpdkw"), st.integers(1, 3), st.integers(1, 400)), max_size=60))
+def test_a_node_gives_all_back_whatever_happens(steps):
+    """Slots, memory and jobs add up after any history, and every accepted job ends once."""
+    bed = Bed(cores=2, slots=3, memory=3.0, queue=5, returns_on_drain=True)
+    accepted = set()
+    for n, (step, slots, work) in enumerate(steps):
+        if step == "s" and bed.ask(f"j{n}", work * MS, slots, slots * 0.5) == ACCEPTED:
+            accepted.add(f"j{n}")
+        elif step == "c" and bed.node.jobs:
+            gone = sorted(bed.node.jobs)[0]
+            assert bed.node.cancel(gone)
+            accepted.discard(gone)
+        elif step == "p":
+            bed.node.pause(work * MS)
+        elif step == "d":
+            bed.node.drain()
+        elif step == "k":
+            bed.node.kill()
+            bed.node.start()
+        bed.kernel.run(bed.kernel.now + work * MS)
+        running = [j for j in bed.node.jobs.values() if j.state == "running"]
+        assert bed.node.busy == sum(j.slots for j in running) <= 3
+        assert bed.node.used == pytest.approx(sum(j.memory for j in running))
+    bed.kernel.run(bed.kernel.now + 3600 * SEC)
+    ends = [j for _, j, s in bed.told if s in ("done", "returned", "lost")]
+    assert sorted(ends) == sorted(accepted) and not bed.node.jobs and bed.node.busy == 0
+    assert bed.node.held_time == pytest.approx(bed.node.residence, abs=1)   # Little's law
+
+
+# Discovery.
+
+def line(node, state="ready", since=0):
+    return Entry(node, state, since, 0, 0, 0, 1.0)
+
+
+def test_watches_end_with_changes_and_far_ones_with_the_whole_list():
+    kernel, got = Kernel(), []
+    r = Registry(kernel, Draws(1, "d"), (1.0, 1.0), 0, SEC)
+    r.put(line("a"))
+    r.call(0, r.version, 5 * SEC, got.append)
+    r.noticed(line("b"))
+    kernel.run(SEC)
+    assert not got[0].whole and [e.node for e in got[0].entries] == ["b"]
+    r.call(0, r.version, 2 * SEC, got.append)
+    kernel.run(10 * SEC)
+    assert got[1].entries == () and not got[1].whole
+    for n in range(600):
+        r.put(line(f"n{n}"))
+    r.call(0, 2, 0, got.append)
+    kernel.run(11 * SEC)
+    assert got[2].whole and len(got[2].entries) == 602
+
+
+def test_calls_wait_in_turn_fail_when_too_long_and_an_outage_ends_watches():
+    kernel, got = Kernel(), []
+    r = Registry(kernel, Draws(1, "d"), (1, 1), 2.0, SEC)
+    for n in range(5):
+        r.call(n, None, 0, lambda a, n=n: got.append((kernel.now // MS, n, a is not None)))
+    kernel.run(5 * SEC)
+    assert got == [(500, 0, True), (1000, 1, True), (1000, 3, False), (1000, 4, False), (1500, 2, True)]
+    r.call(0, r.version, 5 * SEC, got.append)
+    kernel.run(6 * SEC)
+    r.outage(True)
+    assert got[-1] is None
+    r.outage(False)
+    r.mute(True)
+    r.call(0, None, 0, got.append)
+    kernel.run(20 * SEC)
+    assert len(got) == 6
+
+
+# The referee, on rules broken on purpose.
+
+CLASSES = [ClassRule("preview", "retryable", "all", 0), ClassRule("issue", "dedup", "all", 25 * SEC),
+           ClassRule("bundle", "dedup", "cell", 40 * SEC), ClassRule("amend", "dedup", "zone", 40 * SEC),
+           ClassRule("pay", "fragile", "all", 0)]
+
+
+class Case:
+    def __init__(self, cls=0):
+        self.kernel = Kernel()
+        self.referee = Referee(self.kernel, CLASSES, 500 * MS, 8 * MS, 10 * SEC, 4, True)
+        self.referee.took("r", "k", cls, 0, 5 * SEC)
+        self.cls = cls
+
+    def leg(self, node="a", hall=0, rack=0, at=None):
+        self.kernel.run(at or self.kernel.now)
+        return self.referee.leg("r", 0, node, hall, rack, self.kernel.now, 0)
+
+    @property
+    def broken(self):
+        return [b.rule for b in self.referee.breaches]
+
+
+def test_an_unanswered_a_second_and_a_made_up_answer_are_caught():
+    for play, rules in ((lambda c: c.kernel.run(6 * SEC), [1]),
+                        (lambda c: [c.referee.answered("r", "failed") for _ in "12"], [1]),
+                        (lambda c: c.referee.answered("r", "served", "forged"), [1]),
+                        (lambda c: c.referee.answered("x", "failed"), [1]),
+                        (lambda c: c.referee.broken_off("r"), [1]),
+                        (lambda c: (c.referee.result("r", "m"), c.referee.answered("r", "served", "m")), [])):
+        case = Case()
+        play(case)
+        assert case.broken == rules
+
+
+@pytest.mark.parametrize("cls, second, fine", [
+    (0, dict(node="b", hall=1, rack=9), True), (1, dict(node="b", hall=1, rack=9), True),
+    (1, dict(node="b", at=26 * SEC), False), (2, dict(node="b", rack=0), True), (2, dict(node="b", rack=9), False),
+    (3, dict(node="b", rack=9), True), (3, dict(node="b", hall=1), False), (4, dict(node="b"), False)])
+@pytest.mark.parametrize("never", [False, True])
+def test_repeats_of_what_may_have_run_are_held_against_their_class(cls, second, fine, never):
+    case = Case(cls)
+    case.referee.leg_over(case.leg(), never)
+    case.referee.open["r"].due = 10 ** 12
+    case.referee._overdue = None
+    case.kernel._queue.clear()
+    case.leg(**second)
+    assert (2 in case.broken) == (not fine and not never)
+
+
+@pytest.mark.parametrize("cls, fine", [(0, True), (1, True), (2, False), (3, False), (4, False)])
+def test_a_refusal_of_what_may_have_run_is_caught(cls, fine):
+    case = Case(cls)
+    case.leg()
+    case.referee.answered("r", "refused")
+    assert (case.broken == []) == fine
+
+
+def test_two_effects_of_a_key_are_caught_and_dropped_repeats_are_none():
+    for cls, places, rules in ((1, [(0, 0), (1, 9)], []), (3, [(0, 0), (0, 9)], []), (3, [(0, 0), (1, 0)], [2]),
+                               (2, [(0, 0), (0, 1)], [2]), (4, [(0, 0), (0, 0)], [2]), (0, [(0, 0), (1, 1)], [])):
+        case = Case(cls)
+        for hall, rack in places:
+            case.referee.effect(cls, "k", hall, rack)
+        assert case.broken == rules
+
+
+def test_a_send_after_the_grace_of_a_drain_is_caught():
+    for wait, rules in ((400 * MS, []), (600 * MS, [3])):
+        case = Case()
+        case.referee.tell(0, False, [("a", "draining", 0)])
+        case.leg(at=wait)
+        assert case.broken == rules
+    case = Case()
+    case.referee.tell(0, True, [("a", "ready", 0)])
+    case.referee.tell(0, True, [])   # gone by absence
+    case.leg(at=SEC)
+    assert case.broken == [3]
+
+
+def test_a_push_by_those_told_is_a_breach_and_by_the_unknowing_is_not():
+    for since, rules in ((5, [4]), (4, [])):
+        case = Case()
+        case.referee.tell(0, False, [("a", "ready", since)])
+        case.referee.fell("a", 5, [(0, 1.0), (1, 0.4)])
+        assert case.broken == rules and case.referee.falls == 1
+
+
+# Whole runs.
+
+def play(name, seed=1, policy="heathcrank", trace=None):
+    s = sc.load(EXAMPLES / f"{name}.toml")
+    return virtual.run(s, seed, EXAMPLES, POLICIES[policy], trace)
+
+
+@pytest.mark.parametrize("path", sorted(EXAMPLES.glob("*.toml")), ids=lambda p: p.stem)
+def test_every_shipped_scenario_keeps_the_rules_and_serves(path):
+    r = play(path.stem)
+    assert r.breaches == [] and r.worth > 0.7 and r.little == pytest.approx(1.0, abs=1e-3)
+    assert sum(c.asked for c in r.classes.values()) == r.served + r.refused + r.failed
+
+
+def test_one_seed_gives_the_same_bytes_whatever_the_hash_seed():
+    code = ("import sys; from pathlib import Path; from badgerroad.emulator import scenario, virtual;"
+            "p = Path(sys.argv[1]);"
+            "sys.stdout.buffer.write(virtual.run(scenario.load(p), 7, p.parent).bytes())")
+    outs = [subprocess.run([sys.executable, "-c", code, str(EXAMPLES / "incident.toml")], check=True,
+                           capture_output=True, env={**os.environ, "PYTHONHASHSEED": h}).stdout for h in ("1", "2")]
+    assert len({hashlib.sha256(o).digest() for o in outs}) == 1 and outs[0]
+    assert play("incident", 8).bytes() != outs[0]
+
+
+def test_a_naive_policy_breaks_the_rules_and_the_referee_sees_each():
+    broken = set()
+    for seed in range(1, 7):
+        for name in ("deadline_week", "cold_node", "discovery_outage", "hall_outage"):
+            broken |= set(play(name, seed, "naive").breaches_by_rule)
+    assert broken >= {"2", "3", "4"}
+
+
+def test_a_fresh_node_falls_under_a_policy_that_aims_at_it_and_not_under_ours():
+    falls = {p: sum(play("cold_node", seed, p).falls for seed in (1, 2, 3)) for p in ("naive", "heathcrank")}
+    assert falls["heathcrank"] == 0 < falls["naive"]
+
+
+def test_a_replayed_heavy_spell_is_the_same_spell():
+    logs = []
+    for _ in range(2):
+        log = []
+        play("heavy_tail", 3, trace=lambda t, what, more, log=log: log.append((t, what, tuple(more.items()))))
+        logs.append(log)
+    assert logs[0] == logs[1] and any(what == "event" for _, what, _ in logs[0])
+
+
+def test_a_dispatcher_killed_with_jobs_out_loses_only_its_own_and_no_key_runs_twice():
+    s = sc.load(EXAMPLES / "calm.toml")
+    import msgspec
+    kill = sc.Event(at_s=8, what="kill_dispatcher", dispatcher=0)
+    r = virtual.run(msgspec.structs.replace(s, event=(kill,)), 2, EXAMPLES)
+    assert r.breaches == [] and sum(c.lost for c in r.classes.values()) + r.tries - r.jobs > 0
+
+
+@pytest.mark.parametrize("text, field", [
+    ("name = 1", "name"), ("nam = 'x'", "nam"), ("name = 'x'\nlength_s = 0", "length_s"), ("name = 'x", "not TOML"),
+    ("name = 'x'\n[[event]]\nat_s = 1\nwhat = 'slow'", "event[0].for_s"),
+    ("name = 'x'\n[[event]]\nat_s = 1\nwhat = 'melt'", "event[0].what"),
+    ("name = 'x'\n[[event]]\nat_s = 1\nfor_s = 1\nwhat = 'heavy_tail'", "event[0].class"),
+    ("name = 'x'\n[load]\nshape = 'trace'", "load.trace"), ("name = 'x'\n[rules]\ncold_from = 2.0", "rules.cold_from"),
+    ("name = 'x'\n[load]\nshape = 'trace'\ntrace = 't.csv'", "t.csv: line 2")])
+def test_a_wrong_scenario_is_one_line_that_names_file_and_field(tmp_path, text, field):
+    path = tmp_path / "s.toml"
+    path.write_text(text)
+    (tmp_path / "t.csv").write_text("at_s,class,work_ms\n1,nothing,5\n")
+    done = subprocess.run([sys.executable, "-m", "badgerroad", "emulate", "run", str(path)], capture_output=True, text=True)
+    assert done.returncode == 2 and done.stderr.count("\n") == 1 and field in done.stderr
+    assert str(path) in done.stderr or "t.csv" in done.stderr
+
+
+def test_a_trace_is_replayed_as_written(tmp_path):
+    (tmp_path / "t.csv").write_text("at_s,class,work_ms,slots,hall\n1.5,issue,300,2,barracas\n0.5,preview,100\n")
+    (tmp_path / "s.toml").write_text("name = 'x'\nlength_s = 5\n[load]\nshape = 'trace'\ntrace = 't.csv'\n")
+    r = virtual.run(sc.load(tmp_path / "s.toml"), 1, tmp_path)
+    assert r.jobs == 2 and {n: c.served for n, c in r.classes.items() if c.asked} == {"preview": 1, "issue": 1}
