--- a/badgerroad/emulator/rehearse.py
+++ b/badgerroad/emulator/rehearse.py
@@ -35,8 +35,8 @@
 
 
 def result(r: report.Report, world: Optional[LiveWorld] = None) -> Table:
-    table = Table(box=box.SIMPLE, title=f"{r.scenario}, seed {r.seed}: served worth {r.worth:.1%}, worst class {r.worst_class:.1%}, "
-                        f"figure {r.figure:.3f}")
+    table = Table(box=box.SIMPLE, title=f"{r.scenario}, seed {r.seed}: served worth {r.worth:.1%}, "
+                                        f"worst class {r.worst_class:.1%}, figure {r.figure:.3f}")
     for head in ("class", "asked", "served", "in time", "refused", "failed", "lost", "worth", "p50 ms", "p90", "p99"):
         table.add_column(head, justify="left" if head == "class" else "right", no_wrap=True, min_width=len(head))
     for name, c in r.classes.items():
--- a/badgerroad/lab/paper.py
+++ b/badgerroad/lab/paper.py
@@ -173,5 +173,6 @@
     for r in rows:
         paper = PAPER.get((r.policy, r.preemption))
         cells = " | ".join(f"{x:.2f}" for x in (*r.by_load, r.slowdown))
-        lines.append(f"| {'uneven' if r.burst else 'even'} | {r.policy} | {'yes' if r.preemption else 'no'} | {cells} | {paper or '-'} |")
+        lines.append(f"| {'uneven' if r.burst else 'even'} | {r.policy} | {'yes' if r.preemption else 'no'} | {cells} "
+                     f"| {paper or '-'} |")
     return "\n".join(lines) + "\n"
--- a/badgerroad/net/logs.py
+++ b/badgerroad/net/logs.py
@@ -8,6 +8,7 @@
 
 import logging
 import sys
+import time
 from typing import Any, NamedTuple
 
 _rich = sys.modules.get("rich")
@@ -28,12 +29,24 @@
     level: str = "info"
 
 
+_second = [0, ""]   # the last second, and its text: most lines share it with the one before
+
+
+def _stamp(_logger: Any, _name: str, event: structlog.typing.EventDict) -> structlog.typing.EventDict:
+    now = time.time()
+    whole = int(now)
+    if whole != _second[0]:
+        _second[:] = whole, time.strftime("%H:%M:%S", time.localtime(whole))
+    event["at"] = f"{_second[1]}.{int((now - whole) * 1000):03d}"
+    return event
+
+
 def _text(_logger: Any, _name: str, event: structlog.typing.EventDict) -> str:
     """`12:00:00.123 info event key=value ...`; structlog's console renderer takes seven times as long."""
     head = f"{event.pop('at')} {event.pop('level')} {event.pop('event')}"
     trace = event.pop("exception", None)
     for key, value in event.items():
-        text = str(value)
+        text = value if type(value) is str else str(value)
         head += f" {key}={text!r}" if " " in text or "\n" in text else f" {key}={text}"
     return head if trace is None else f"{head}\n{trace}"
 
@@ -50,7 +63,7 @@
         fields = {"logger": record.name}
         if record.exc_info:
             fields["exception"] = logging.Formatter().formatException(record.exc_info)
-        structlog.get_logger().log(record.levelno, record.getMessage(), **fields)
+        _Log.current.log(record.levelno, record.getMessage(), **fields)
 
 
 class _Stderr:
@@ -70,15 +83,39 @@
     """Set format and level for the whole process; may be called again, on a reload."""
     level = logging.DEBUG if debug else LEVELS[choice.level]
     json = choice.format == "json"
+    stamp: Any = structlog.processors.TimeStamper(fmt="iso", key="at") if json else _stamp
     structlog.configure(
         processors=[structlog.processors.add_log_level, structlog.processors.format_exc_info,
-                    structlog.processors.TimeStamper(fmt="iso" if json else "%H:%M:%S.%f", utc=json, key="at"),
+                    stamp,
                     _json if json else _text],
         wrapper_class=structlog.make_filtering_bound_logger(level),
         logger_factory=lambda *args: _Stderr(), cache_logger_on_first_use=False)
+    _Log.current = structlog.get_logger().bind()
     logging.basicConfig(level=max(level, logging.INFO), handlers=[_Forward()], force=True)
 
 
-def get(name: str) -> Any:
+class _Log:
+    """Hands on to the logger of the present configuration. structlog's own lazy proxy binds anew for every line,
+    which took 6 us even for a line that is not written; its cache would not see a reload."""
+
+    current: Any = structlog.get_logger()
+
+    def debug(self, event: str, **fields: Any) -> None:
+        self.current.debug(event, **fields)
+
+    def info(self, event: str, **fields: Any) -> None:
+        self.current.info(event, **fields)
+
+    def warning(self, event: str, **fields: Any) -> None:
+        self.current.warning(event, **fields)
+
+    def error(self, event: str, **fields: Any) -> None:
+        self.current.error(event, **fields)
+
+    def exception(self, event: str, **fields: Any) -> None:
+        self.current.exception(event, **fields)
+
+
+def get(name: str) -> _Log:
     """A logger; events are words, everything that varies is a field."""
-    return structlog.get_logger()
+    return _Log()
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -358,7 +358,7 @@
 
 
 @contextlib.asynccontextmanager
-async def program(w, config, **variables):
+async def program(w, config, operator=None, **variables):
     """The program itself, on a port of its own, ready; what it says goes to the pipe."""
     listen = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
     w.port = listen.sockets[0].getsockname()[1]   # free again, and call-backs go to the program
@@ -367,7 +367,8 @@
         "name": "n1", "listen": f"127.0.0.1:{w.port}", "discovery": f"127.0.0.1:{w.discovery.port}",
         "seed": "2", "settings": SETTINGS}))
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "badgerroad", "serve", stderr=asyncio.subprocess.PIPE,
+        sys.executable, "-m", "badgerroad", "serve", *(["--operator", str(operator)] if operator else []),
+        stderr=asyncio.subprocess.PIPE,
         env={**os.environ, "PROXY_CONFIG": str(config), **variables})
     ready = False
     while not ready:
