Copy less per message: one copy a take, none a skip, one pattern a header line

Need: issue on scale asks for less CPU per request; a profile at 15 hosts showed parser (17%) and ring (11%) before writes (12%), the module (11%) and logs (6%). Change: Ring.skip, single-piece copies, one regular expression a header line, no sets for absent Connection headers.

--- a/badgerroad/net/connection.py
+++ b/badgerroad/net/connection.py
@@ -110,7 +110,7 @@
         if future.exception() or self.closed:
             self.close()
             return
-        self.ring_out.take(self._flushing)
+        self.ring_out.skip(self._flushing)
         self._flushing = 0
         if len(self.ring_out):
             self._flush()
--- a/badgerroad/net/http1.py
+++ b/badgerroad/net/http1.py
@@ -23,8 +23,8 @@
 Headers = List[Tuple[bytes, bytes]]
 
 _TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
+_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([\t -~\x80-\xff]*)\Z")
 _TARGET = re.compile(rb"[!-~]+\Z")
-_VALUE = re.compile(rb"[\t -~\x80-\xff]*\Z")
 _VERSION = re.compile(rb"HTTP/1\.[01]\Z")
 _CHUNK = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[\t -~\x80-\xff]*)?\Z")
 
@@ -45,7 +45,8 @@
     def __init__(self, method: bytes, target: bytes, status: int, headers: Headers, version: bytes) -> None:
         self.method, self.target, self.status, self.headers = method, target, status, headers
         self.body = b""
-        options = {o.strip().lower() for o in (self.get(b"connection") or b"").split(b",")}
+        connection = self.get(b"connection")
+        options = [o.strip().lower() for o in connection.split(b",")] if connection is not None else ()
         self.close = b"close" in options or version == b"HTTP/1.0" and b"keep-alive" not in options
 
     @property
@@ -56,8 +57,8 @@
         return [v for n, v in self.headers if n == name]
 
     def get(self, name: bytes) -> Optional[bytes]:
-        values = self.all(name)
-        return b",".join(values) if values else None
+        values = [v for n, v in self.headers if n == name]
+        return None if not values else values[0] if len(values) == 1 else b",".join(values)
 
 
 class Parser:
@@ -108,19 +109,18 @@
             blank += 2   # blank lines before a request are allowed
         end = data.find(b"\r\n\r\n", blank)
         if end < 0 and len(data) - blank < HEADER_LIMIT:
-            self.ring.take(blank)
+            self.ring.skip(blank)
             return False
         if end < 0 or end - blank > HEADER_LIMIT:
             raise BadMessage(431, "the header is too large")
-        self.ring.take(end + 4)
+        self.ring.skip(end + 4)
         first, *lines = data[blank:end].split(b"\r\n")
         headers: Headers = []
         for line in lines:
-            name, colon, value = line.partition(b":")
-            value = value.strip(b" \t")
-            if not colon or not _TOKEN.match(name) or not _VALUE.match(value):
+            match = _LINE.match(line)
+            if match is None:
                 raise BadMessage(400, "a header line is malformed")
-            headers.append((name.lower(), value))
+            headers.append((match[1].lower(), match[2].strip(b" \t")))
         words = first.split(b" ", 2)
         if self.responses:
             if len(words) < 2 or not _VERSION.match(words[0]) or not re.match(rb"[1-5]\d\d\Z", words[1]):
--- a/badgerroad/net/ring.py
+++ b/badgerroad/net/ring.py
@@ -61,18 +61,26 @@
         return memoryview(self._data)[self._head:min(self._head + self._count, len(self._data))]
 
     def peek(self) -> bytes:
-        first = bytes(self.readable())
-        return first + bytes(memoryview(self._data)[:self._count - len(first)])
+        return self._copy(self._count)
+
+    def _copy(self, count: int) -> bytes:
+        end, size = self._head + count, len(self._data)
+        if end <= size:   # in one piece, as nearly always: one copy
+            return bytes(memoryview(self._data)[self._head:end])
+        return bytes(memoryview(self._data)[self._head:]) + bytes(memoryview(self._data)[:end - size])
 
     def take(self, count: int) -> bytes:
         count = min(count, self._count)
-        first = bytes(self.readable()[:count])
-        data = first + bytes(memoryview(self._data)[:count - len(first)])
-        self._head, self._count = (self._head + count) % len(self._data), self._count - count
-        if not self._count:
-            self._head = 0
+        data = self._copy(count)
+        self.skip(count)
         return data
 
+    def skip(self, count: int) -> None:
+        """Take without a copy."""
+        count = min(count, self._count)
+        self._count -= count
+        self._head = (self._head + count) % len(self._data) if self._count else 0
+
     def shrink(self) -> None:
         """Give the memory of a large message back. Not while a read into the ring is pending."""
         if not self._count and len(self._data) > self.small:
