--- a/badgerroad/lab/policies.py
+++ b/badgerroad/lab/policies.py
@@ -32,7 +32,7 @@
         self.request, self.cls, self.hint, self.deadline = r.request, cls, max(r.hint, 1), deadline
         self.long = self.done = False
         self.legs: List[Tuple[Node, bool]] = []       # (node, still out)
-        self.maybe: Optional[Tuple[Node, int]] = None  # the first that may have run, and when it was sent
+        self.maybe: Optional[Tuple[Node, int, int]] = None  # the first leg that may have run: node, time, number
 
 
 class Baseline:
@@ -110,7 +110,7 @@
             return []
         if job.maybe is None or job.cls.semantics == i.SAFE:
             return self.ready
-        first, sent = job.maybe
+        first, sent, _ = job.maybe
         if job.cls.semantics == i.UNSAFE or self.now >= sent + job.cls.window:
             return []
         if job.cls.group == i.GROUP_ZONE:
@@ -136,7 +136,7 @@
     def _send(self, job: Job, node: Node) -> None:
         job.legs.append((node, True))
         if job.maybe is None:
-            job.maybe = node, self.now
+            job.maybe = node, self.now, len(job.legs) - 1
         node.jobs += 1
         node.work += job.hint
         node.longs += job.long
@@ -151,7 +151,7 @@
         node.jobs -= 1
         node.work -= job.hint
         node.longs -= job.long
-        if e.result in i.NOT_RUN and job.maybe is not None and job.maybe[0] is node:
+        if e.result in i.NOT_RUN and job.maybe is not None and job.maybe[2] == e.attempt:
             job.maybe = None
         if e.finished or job.done:
             self._end(job)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -109,6 +109,9 @@
         out = p.handle(2, i.Outcome(number, 0, sent.worker, i.ERROR))
         again = [a.worker for a in out if isinstance(a, i.Send)]
         assert again == [sent.worker] if cls == 0 else again and again != [sent.worker]
+        if cls == 0:   # a second leg that never ran there says nothing of the first, which may have
+            again = [a for a in p.handle(2, i.Outcome(number, 1, sent.worker, i.CONNECT_FAILED)) if isinstance(a, i.Send)]
+            assert [a.worker for a in again] == [sent.worker]
     p.handle(3, i.WorkerList(i.CHANGES, 2, (i.WorkerInfo(sent.worker, i.DRAINING),)))
     assert sent.worker not in [a.worker for n in range(9) for a in p.handle(4, i.Request(10 + n, 1, hint=5))
                                if isinstance(a, i.Send)]
