Add broken connections to the timeline; one loader for all TOML files

Need: the issue lists resets among what a scenario may do, and three places decoded TOML with the same errors.

--- a/badgerroad/emulator/live/tier.py
+++ b/badgerroad/emulator/live/tier.py
@@ -369,6 +369,9 @@
         for d in range(len(self.world.home)):
             if (node.name, d) in self.doors:
                 self.doors[node.name, d].shut()
+        self.reset(node)
+
+    def reset(self, node: RenderNode) -> None:
         for connection in list(self.connections.get(node.name, ())):
             connection.abort()
 
--- a/badgerroad/emulator/scenario.py
+++ b/badgerroad/emulator/scenario.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from badgerroad import tomlfile
+
 Range = Tuple[float, float]
 LONGEST = 86_400.0          # seconds; a run is a day at most
 MOST_NODES, MOST_DISPATCHERS = 20_000, 256
@@ -135,7 +137,7 @@
 
 
 What = Literal["slow", "quick_failures", "neighbour", "late_reports", "heavy_tail", "pause", "silence", "kill_node",
-               "restart_node", "drain_node", "replace_node", "add_node", "link_slow", "partition", "one_way",
+               "restart_node", "drain_node", "replace_node", "add_node", "reset", "link_slow", "partition", "one_way",
                "hall_outage", "discovery_down", "discovery_silent", "kill_dispatcher", "restart_dispatcher",
                "freeze_dispatcher", "reload_dispatcher", "surge"]
 # What each kind of event means by `size` and `extra`, and whether it needs `for_s`.
@@ -211,15 +213,7 @@
 
 def load(path: Path) -> Scenario:
     """The scenario of a file, checked. Raises BadScenario."""
-    try:
-        scenario = msgspec.toml.decode(path.read_bytes(), type=Scenario)
-    except OSError as e:
-        raise BadScenario(f"{path}: {e.strerror}") from e
-    except msgspec.ValidationError as e:
-        reason, _, where = str(e).partition(" - at `")
-        raise BadScenario(f"{path}: {where.rstrip('`').lstrip('$.') or 'file'}: {reason}") from e
-    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as e:
-        raise BadScenario(f"{path}: not TOML: {' '.join(str(e).split())}") from e
+    scenario = tomlfile.decode(path, Scenario, BadScenario)
     problem = _problem(scenario)
     if problem:
         raise BadScenario(f"{path}: {problem}")
--- a/badgerroad/emulator/virtual.py
+++ b/badgerroad/emulator/virtual.py
@@ -413,14 +413,18 @@
         machine.later(self.network.delay(leg.node.hall, machine.hall), call)
 
     def leg_cancelled(self, machine: Machine, request_id: str, leg: Leg) -> None:
-        job = leg.node.jobs.get(request_id)
-        if job is not None and job is leg.job:
+        if leg.job is not None and node_has(leg.node, leg.job):
             leg.node.cancel(request_id, machine.number)
 
     def told(self, dispatcher: int, answer: Answer) -> None:
         self.referee.tell(dispatcher, answer.whole, [(e.node, e.state, e.since) for e in answer.entries])
 
 
+def node_has(node: RenderNode, job: Job) -> bool:
+    """Is it this very attempt that the node holds? An earlier one of the same request may have been there."""
+    return node.jobs.get(job.id) is job
+
+
 class VirtualTier:
     """The machines, as the world knows dispatchers."""
 
@@ -463,6 +467,23 @@
             if machine.up:
                 machine.idle.pop(node.name, None)
 
+    def reset(self, node: RenderNode) -> None:
+        for machine in self.machines:
+            if machine.up:
+                for _ in machine.idle.pop(node.name, []):
+                    node.disconnect()
+                for request in list(machine.requests.values()):
+                    for leg in request.legs:
+                        if leg.node is node and not leg.over and not leg.accepted:
+                            self._broken(machine, request, leg)
+
+    def _broken(self, machine: Machine, request: Open, leg: Leg) -> None:
+        """Before its 202: the node takes the end of the connection as the end of the job, if it has it."""
+        if leg.job is not None and node_has(leg.node, leg.job):
+            leg.node.cancel(leg.job.id, machine.number)
+        self.world.referee.leg_over(leg.seen, False)
+        machine.leg_ended(request, leg, i.RESET)
+
     def start(self, number: int) -> None:
         if not self.machines[number].up:
             self.machines[number].start()
--- a/badgerroad/emulator/world.py
+++ b/badgerroad/emulator/world.py
@@ -33,6 +33,9 @@
     def node_gone(self, node: RenderNode) -> None:
         """A node's process has died: its connections break."""
 
+    def reset(self, node: RenderNode) -> None:
+        """All connections to a node break, as when a box between them loses its state; the node runs on."""
+
     def start(self, number: int) -> None: ...
 
     def kill(self, number: int) -> None: ...
@@ -196,7 +199,7 @@
         length = int(e.for_s * SEC)
         later = self.kernel.after
         if e.what in ("slow", "quick_failures", "neighbour", "late_reports", "pause", "silence", "kill_node",
-                      "restart_node", "drain_node", "replace_node"):
+                      "restart_node", "drain_node", "replace_node", "reset"):
             for node in self._picked(e):
                 self._to_node(e, node, length)
         elif e.what == "add_node":
@@ -257,6 +260,8 @@
             node.silence(length)
         elif e.what == "kill_node":
             node.kill()
+        elif e.what == "reset":
+            self.tier.reset(node)
         elif e.what == "restart_node":
             self._restart(node, length or SEC)
         elif e.what == "drain_node":
--- a/badgerroad/lab/experiment.py
+++ b/badgerroad/lab/experiment.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from badgerroad import tomlfile
 from badgerroad.emulator import scenario as sc
 from badgerroad.emulator.scenario import BadScenario
 from badgerroad.lab.policies import POLICIES
@@ -46,15 +47,7 @@
 
 def load(path: Path) -> Experiment:
     """The experiment of a file, checked with all its scenarios. Raises BadScenario."""
-    try:
-        e = msgspec.toml.decode(path.read_bytes(), type=Experiment)
-    except OSError as x:
-        raise BadScenario(f"{path}: {x.strerror}") from x
-    except msgspec.ValidationError as x:
-        reason, _, where = str(x).partition(" - at `")
-        raise BadScenario(f"{path}: {where.rstrip('`').lstrip('$.') or 'file'}: {reason}") from x
-    except (msgspec.DecodeError, ValueError) as x:
-        raise BadScenario(f"{path}: not TOML: {' '.join(str(x).split())}") from x
+    e = tomlfile.decode(path, Experiment, BadScenario)
     if not e.scenarios:
         raise BadScenario(f"{path}: scenarios: at least one is needed")
     for name in e.policies:
--- a/badgerroad/operator/schema.py
+++ b/badgerroad/operator/schema.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from badgerroad import tomlfile
 from badgerroad.config import BadConfig
 
 
@@ -26,12 +27,4 @@
 
 def load(path: str) -> Operator:
     """The file, checked. Raises BadConfig, whose one line names file, field and reason."""
-    try:
-        return msgspec.toml.decode(Path(path).read_bytes(), type=Operator)
-    except OSError as e:
-        raise BadConfig(f"{path}: {e.strerror}") from e
-    except msgspec.ValidationError as e:
-        reason, _, where = str(e).partition(" - at `")
-        raise BadConfig(f"{path}: {where.rstrip('`').lstrip('$.') or 'file'}: {reason}") from e
-    except (msgspec.DecodeError, ValueError) as e:
-        raise BadConfig(f"{path}: not TOML: {e}") from e
+    return tomlfile.decode(Path(path), Operator, BadConfig)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -373,6 +373,18 @@
     assert r.breaches == [] and sum(c.lost for c in r.classes.values()) + r.tries - r.jobs > 0
 
 
+def test_broken_connections_and_cut_links_break_no_rule_and_cost_little():
+    import msgspec
+    hurt = [sc.Event(at_s=0.5 * n, what="reset", nodes=(f"n{n % 13:04}",)) for n in range(38)]
+    hurt += [sc.Event(at_s=5, for_s=4, what="one_way", hall="barracas"), sc.Event(at_s=11, for_s=4, what="partition"),
+             sc.Event(at_s=16, for_s=3, what="link_slow", size=40)]
+    log = []
+    r = virtual.run(msgspec.structs.replace(sc.load(EXAMPLES / "calm.toml"), event=tuple(hurt)), 5, EXAMPLES,
+                    trace=lambda t, what, more: log.append(more.get("result")))
+    assert r.breaches == [] and r.worth > 0.8
+    assert {"reset", "timeout"} & set(log)   # on the links, something was lost
+
+
 def test_a_call_back_may_come_before_the_202_and_counts(monkeypatch):
     early = []
     was = virtual.Machine.called_back
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -34,7 +34,7 @@
 
 def test_what_a_scenario_may_do_to_processes_and_nodes_breaks_no_rule():
     hurt = [scenario.Event(at_s=a, what=w, for_s=f, dispatcher=0 if "dispatcher" in w else -1, nodes=n) for a, w, f, n in (
-        (0.4, "reload_dispatcher", 0, ()), (0.5, "silence", 0.8, ("n0000",)), (0.8, "restart_node", 0.5, ("n0001",)),
+        (0.4, "reload_dispatcher", 0, ()), (0.5, "silence", 0.8, ("n0000",)), (0.8, "restart_node", 0.5, ("n0001",)), (0.9, "reset", 0, ("n0000",)),
         (1.0, "drain_node", 0, ("n0002",)), (1.5, "discovery_down", 1.0, ()), (2.0, "kill_dispatcher", 0, ()))]
     s, world, r = live(hurt, discovery=scenario.Discovery(notice_s=(0.1, 0.3)))
     assert r.breaches == [] and r.served > r.jobs / 2
