--- a/badgerroad/emulator/rehearse.py
+++ b/badgerroad/emulator/rehearse.py
@@ -22,7 +22,8 @@
 
 def moving(world: LiveWorld) -> Table:
     now = min(max(world.kernel.now, 0), world.length)
-    table = Table(box=box.SIMPLE, title=f"{world.scenario.name}: {now / SEC:.1f} of {world.length / SEC:.0f} s")
+    table = Table(box=box.SIMPLE, padding=0, pad_edge=False, show_edge=False,
+                  title=f"{world.scenario.name}: {now / SEC:.1f} of {world.length / SEC:.0f} s")
     for head in ("class", "asked", "served", "in time", "refused", "failed", "lost"):
         table.add_column(head, justify="left" if head == "class" else "right")
     for kind, t in zip(world.kinds, world.clients.tallies):
@@ -35,8 +36,10 @@
 
 
 def result(r: report.Report, world: Optional[LiveWorld] = None) -> Table:
-    table = Table(box=box.SIMPLE, title=f"{r.scenario}, seed {r.seed}: served worth {r.worth:.1%}, "
-                                        f"worst class {r.worst_class:.1%}, figure {r.figure:.3f}")
+    # 80 columns must do: where the output is no terminal there are no more.
+    table = Table(box=box.SIMPLE, padding=0, pad_edge=False, show_edge=False,
+                  title=f"{r.scenario}, seed {r.seed}: served worth {r.worth:.1%}, worst class {r.worst_class:.1%}, "
+                        f"figure {r.figure:.3f}")
     for head in ("class", "asked", "served", "in time", "refused", "failed", "lost", "worth", "p50 ms", "p90", "p99"):
         table.add_column(head, justify="left" if head == "class" else "right", no_wrap=True, min_width=len(head))
     for name, c in r.classes.items():
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -144,9 +144,10 @@
 
 def test_a_virtual_run_writes_its_result_and_its_log(tmp_path):
     done = subprocess.run([sys.executable, "-m", "badgerroad", "emulate", "run", str(ROOT / "examples/calm.toml"),
-                           "--json", str(tmp_path / "r.json"), "--log", str(tmp_path / "log")], capture_output=True)
+                           "--json", str(tmp_path / "r.json"), "--log", str(tmp_path / "log")], capture_output=True, text=True)
     result = json.loads((tmp_path / "r.json").read_text())
     assert done.returncode == 0 and result["breaches"] == [] and result["worth"] > 0.8 and result["events"] > 1000
+    assert all(f"{result['classes']['bundle'][q]:.0f}" in done.stdout for q in ("p50_ms", "p90_ms", "p99_ms"))
     events = [json.loads(line) for line in (tmp_path / "log").read_text().splitlines()]
     answers = sum(e["event"] == "answer" for e in events)
     assert 0 <= result["tries"] - answers <= 5   # some clients are impatient
