--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -376,6 +376,9 @@
 def test_broken_connections_and_cut_links_break_no_rule_and_cost_little():
     import msgspec
     hurt = [sc.Event(at_s=0.5 * n, what="reset", nodes=(f"n{n % 13:04}",)) for n in range(38)]
+    calm = sc.load(EXAMPLES / "calm.toml")
+    runs = [virtual.run(msgspec.structs.replace(calm, event=tuple(e)), 5, EXAMPLES) for e in ((), hurt)]
+    assert runs[1].handshakes > runs[0].handshakes + 10 and runs[1].breaches == []   # kept connections are gone
     hurt += [sc.Event(at_s=5, for_s=4, what="one_way", hall="barracas"), sc.Event(at_s=11, for_s=4, what="partition"),
              sc.Event(at_s=16, for_s=3, what="link_slow", size=40)]
     log = []
