Ask discovery only for what changed, and not all dispatchers at one moment

Ruled out: hosts at their limit of connections (1 of 1,662 refusals had another dispatcher open a connection there within 1 s), and an outage of discovery (the three watches went on). Lines at fault: RoutingTable._watch, which began with the whole list and a second call at once and did so again after a failure, and the pause in Dispatcher._list, which spread 40 over half a second. Change: the first call is for what changed since the list held, after a random part of 0.1 s a dispatcher (not for four or fewer); a failure resumes from the last version, a bad list from the whole one; the module's pause grows by up to 0.1 s a dispatcher. Log lines for lists and for each leg, which these counts need.

--- a/badgerroad/discovery/routing_table.py
+++ b/badgerroad/discovery/routing_table.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import math
+import random
 from typing import Any, Callable, Dict, List, Optional, Tuple
 
 from badgerroad.net import http1, logs
@@ -24,6 +25,11 @@
 # module's own pause after a failure may have grown beyond that while the old address was failing.
 MOVE_PATIENCE = 3_000_000
 MOVE_PAUSE = 250_000
+# Discovery serves all dispatchers in turn, and calls that nobody waits for any more cost it time too: 40 that asked at
+# one moment, at a start or after a release, kept it busy with dead calls for the rest of the day. Each waits a random
+# part of this time for each dispatcher there is, so that ten a second ask.
+SPREAD = 100_000
+FEW = 4                  # dispatchers that may ask at one moment
 STATES = {"ready": i.READY, "draining": i.DRAINING, "gone": i.GONE}
 
 
@@ -105,10 +111,12 @@
 
 class RoutingTable:
     def __init__(self, wheel: Wheel, descriptors: Descriptors, reader: Reader, address: Address,
-                 news: Callable[[i.WorkerList, Dict[str, Address]], None]) -> None:
+                 news: Callable[[i.WorkerList, Dict[str, Address]], None], dispatchers: int = 1,
+                 seed: int = 0) -> None:
         self.wheel, self.descriptors, self.reader, self.address, self.news = (
             wheel, descriptors, reader, address, news)
-        self.seq: Optional[int] = None
+        self.seq: Optional[int] = None   # of the list held; None: the whole list is needed
+        self._spread = int(random.Random(seed).random() * SPREAD * dispatchers) if dispatchers > FEW else 0
         self.heard = False        # discovery has answered or failed once
         self.listed: Dict[str, str] = {}
         self.halls: Dict[str, str] = {}   # by host, for the log
@@ -118,8 +126,12 @@
         self._connection: Optional[CallConnection] = None
 
     def known(self, data: Any) -> None:
-        """The list as this dispatcher last held it; it may be out of date."""
-        self._tell(*self.reader.read(data, cached=True))
+        """The list as this dispatcher last held it; it may be out of date. What has changed since is a short answer;
+        the whole list, asked for by all at once, was a long one."""
+        news, places = self.reader.read(data, cached=True)
+        self._tell(news, places)
+        if news.entries:
+            self.seq = news.version
 
     def subscribe(self, on: bool) -> None:
         self._wanted = on
@@ -153,50 +165,60 @@
             self.halls[str(e.worker)] = self.reader.zones[e.zone]
         self.listed = {n: s for n, s in self.listed.items() if s != i.GONE}
         self.halls = {n: h for n, h in self.halls.items() if n in self.listed}
+        log.info("routing table", scope=news.scope, seq=news.version, entries=len(news.entries),
+                 hosts=len(self.listed))
         self.news(news, places)
 
     async def _watch(self) -> None:
-        """The whole list, then one watch after another without a pause: a gap would start a new watch."""
-        version: Optional[int] = None   # None: the whole list is asked for
+        """What has changed since the list held, or the whole list if none is; then one watch after another without a
+        pause: a gap would start a new watch."""
         try:
+            if self.seq is not None and self._spread:
+                await self._pause(self._spread)
             while self._wanted:
                 moves = self._moves
                 try:
-                    version = await self._next(version)
+                    await self._next()
                 except (Broken, BadList) as e:
                     log.info("discovery failed", why=str(e))
+                    if isinstance(e, BadList):
+                        self.seq = None
                     if moves == self._moves and not await self._may_insist():
                         break
                 if moves != self._moves:
-                    version = None
+                    self.seq = None
         finally:
             # Whatever ended it, the module must hear so, or it would never ask again.
-            self._watching, self.heard = False, True
+            self._watching, self.heard, self._spread = False, True, 0
             if self._wanted:
                 self.news(i.WorkerList(i.FAILED), {})
 
-    async def _next(self, version: Optional[int]) -> int:
+    async def _next(self) -> None:
         target, wait = b"/api/targets", 0
-        if version is not None:
-            target, wait = b"/api/targets?index=%d&wait=%d" % (version, WAIT_MS), WAIT_MS * 1000
+        if self.seq is not None:
+            # The first answer is what readiness waits for: it comes at once, changes or none.
+            wait = WAIT_MS if self.heard else 0
+            target = b"/api/targets?index=%d&wait=%d" % (self.seq, wait)
         moves = self._moves
-        news, places = await self._call(target, wait)
+        news, places = await self._call(target, wait * 1000)
         if news.scope == i.CHANGES and self.seq is not None and news.version < self.seq:
             raise BadList(f"version {news.version} after {self.seq}")
         if moves == self._moves:
             self._moved = None
         self.seq, self.heard = news.version, True
         self._tell(news, places)
-        return news.version
 
     async def _may_insist(self) -> bool:
         """Pause after a failure that is not the module's yet: the new address has not told its list so far."""
         if self._moved is None or self.wheel.clock.now() - self._moved > MOVE_PATIENCE:
             return False
+        await self._pause(MOVE_PAUSE)
+        return True
+
+    async def _pause(self, time: int) -> None:
         pause: "asyncio.Future[None]" = asyncio.get_event_loop().create_future()
-        self.wheel.after(MOVE_PAUSE, lambda: pause.set_result(None))
+        self.wheel.after(time, lambda: pause.set_result(None))
         await pause
-        return True
 
     async def _fetch(self) -> None:
         connection = CallConnection(self.descriptors, LIST_LIMIT)
--- a/badgerroad/dispatcher.py
+++ b/badgerroad/dispatcher.py
@@ -39,12 +39,13 @@
 class OpenRequest:
     """Taken and not answered yet, or answered with legs still out."""
 
-    __slots__ = ("number", "order", "exchange", "cls", "begun", "legs", "out", "backstop")
+    __slots__ = ("number", "order", "exchange", "cls", "begun", "legs", "out", "backstop", "hint", "slots")
 
     def __init__(self, number: int, order: Order, exchange: Exchange, cls: i.RequestClass, begun: int) -> None:
         self.number, self.order, self.exchange, self.cls, self.begun = number, order, exchange, cls, begun
         self.legs: List[Leg] = []
-        self.out = 0
+        self.out = self.hint = 0
+        self.slots = 1.0
         self.backstop: Optional[Timer] = None
 
 
@@ -55,7 +56,7 @@
         self.descriptors = Descriptors(config.sockets)
         self.issuers = Issuers(wheel, self.descriptors, config.settings, self._leg_over, self.feed)
         self.table = RoutingTable(wheel, self.descriptors, Reader(config.zones, config.kinds), config.discovery,
-                                  self._news)
+                                  self._news, config.settings.dispatchers, config.seed)
         self.acquirers = AcquirerSide(wheel, self.descriptors, self)
         self.classes = {c.name.encode(): n for n, c in enumerate(config.settings.classes)}
         self.tenants = {t.name.encode(): n for n, t in enumerate(config.settings.tenants)}
@@ -167,7 +168,9 @@
         if not request.exchange.answered:
             took = (self.clock.now() - request.begun) // 1000
             log.info("answered", request=request.order.id.decode("latin-1"), cls=request.cls.name, status=status,
-                     ms=took, legs=len(request.legs))
+                     ms=took, legs=len(request.legs), hint=request.hint // 1000,
+                     due=min(request.cls.aim + int(request.cls.stretch * request.hint),
+                             request.order.deadline - request.begun) // 1000)
             request.exchange.answer(status, body, headers)
         self._settle(request)
 
@@ -190,9 +193,10 @@
         elif result == i.REJECTED and not request.out:
             # Another host would say the same. With a second copy out, that one settles it.
             self._finish(request, leg.status, b"the host that was asked cannot use it\n")
-        if result not in (i.OK, i.CANCELLED):
-            log.info("leg over", request=request.order.id.decode("latin-1"), leg=leg.number, host=leg.worker,
-                     hall=self.table.halls.get(leg.worker, ""), result=result)
+        log.info("leg over", request=request.order.id.decode("latin-1"), leg=leg.number, host=leg.worker,
+                 hall=self.table.halls.get(leg.worker, ""), result=result, after=(leg.sent - request.begun) // 1000,
+                 start=(leg.start - leg.sent) // 1000 if leg.start else -1, ms=(self.clock.now() - leg.sent) // 1000,
+                 opened=int(leg.opened), slots=int(request.slots))
         self.feed(i.Outcome(leg.request, leg.number, leg.worker, result, self.clock.now() - leg.sent,
                             request.exchange.answered, load))
         self._settle(request)
@@ -228,6 +232,7 @@
         order = Order(message, request_id, headers, now + event.time_left)
         cls = self.settings.classes[event.class_index]
         request = self.requests[number] = self.by_id[request_id] = OpenRequest(number, order, exchange, cls, now)
+        request.hint, request.slots = event.hint, event.slots
         # Should the module ever fail to answer, the client still hears before it gives up.
         request.backstop = self.wheel.after(max(event.time_left - self.settings.tick, 0),
                                             lambda: self._finish(request, 504, b"out of time\n"))
--- a/badgerroad/issuer/http.py
+++ b/badgerroad/issuer/http.py
@@ -44,11 +44,13 @@
 
 class Leg:
     __slots__ = ("request", "number", "order", "worker", "sent", "asked", "heard", "started", "accepted", "over",
-                 "host", "timer", "connection", "status")
+                 "host", "timer", "connection", "status", "opened", "start")
 
     def __init__(self, request: int, number: int, order: Order, worker: str, now: int) -> None:
         self.request, self.number, self.order, self.worker, self.sent = request, number, order, worker, now
         self.asked = self.heard = self.started = self.accepted = self.over = False
+        self.opened = False   # on a connection of its own making
+        self.start = 0    # when its start was told
         self.status = 0   # of the host's answer, where that is not the 202
         self.host: Optional[IssuerHost] = None
         self.timer: Optional[Timer] = None
@@ -201,7 +203,7 @@
         leg.heard = True
         if state == "started":
             if not leg.started:
-                leg.started = True
+                leg.started, leg.start = True, self.clock.now()
                 self.raise_event(i.Started(leg.request, leg.number, leg.worker))
             return
         if state == "running":
@@ -233,7 +235,7 @@
             raise NoDescriptor(False, "no descriptor left")
         connection = CallConnection(self.descriptors)
         if leg is not None:
-            leg.connection = connection
+            leg.connection, leg.opened = connection, True
         timer = self.wheel.after(self.settings.connect_timeout or 1_000_000, connection.close, patient=True)
         try:
             await connection.connect(host.address)
--- a/heathcrank/brain.py
+++ b/heathcrank/brain.py
@@ -112,9 +112,10 @@
 
     def _list(self, e: i.WorkerList) -> None:
         if e.scope == i.FAILED:
-            # Discovery is out or overloaded: ask again later each time, but within what rule 3 allows.
-            self.subscribed = False
-            self._ask_after(int(self.backoff * (1 + self.random.random())))
+            self.subscribed = False  # it is out or overloaded: ask again later each time, within what rule 3 allows
+            # All dispatchers may have failed together: 0.1 s for each spreads them, or they would do so once more.
+            spread = min(FIRST_RETRY * self.settings.dispatchers // 5, self.settings.ask_within)
+            self._ask_after(int(self.backoff + (self.backoff + spread) * self.random.random()))
             self.backoff = min(self.backoff * 2, self.settings.ask_within)
             return
         if e.scope != i.CACHED:
--- a/tests/net.py
+++ b/tests/net.py
@@ -106,7 +106,7 @@
 
     async def whole_list(self, head, _body):
         """The list at once; then one answer for each list that the story puts into `lists`."""
-        if b"index=" in head:
+        if b"index=" in head and b"wait=0" not in head:
             return reply(200, json.dumps(await self.lists.get()).encode())
         return reply(200, json.dumps({"seq": 2, "whole": True, "hosts": self.entries}).encode())
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -13,7 +13,9 @@
 from badgerroad import dispatcher
 from badgerroad.acquirer import http as acquirer
 from badgerroad.discovery import routing_table
+from badgerroad.discovery.routing_table import RoutingTable
 from badgerroad.net.connection import Descriptors
+from heathcrank import brain
 from heathcrank import interface as i
 
 
@@ -236,6 +238,36 @@
         assert index[1:4] == [b"/api/targets?index=2", b"/api/targets?index=3", b"/api/targets?index=4"]
 
 
+@story
+async def test_a_restart_and_a_failure_ask_only_for_what_has_changed(monkeypatch):
+    """The whole list, asked for by 40 at once, kept discovery busy for the rest of the day."""
+    monkeypatch.setattr(brain, "FIRST_RETRY", 20_000)
+    answers = [reply(503), reply(200, json.dumps({"seq": 5, "whole": False, "hosts": []}).encode()), reply(503)]
+
+    async def script(_head, _body):
+        return answers.pop(0) if answers else await never(None, None, None)
+    async with World(serve, discovery=script) as w:
+        await until(lambda: len(w.discovery.got) > 3)
+        asked = [head.split(b" ")[1] for head, _ in w.discovery.got]
+        assert asked[0] == b"/api/targets?index=1&wait=0"   # the list it was told at the start
+        assert [a.split(b"&")[0][-7:] for a in asked] == [b"index=1", b"index=1", b"index=5", b"index=5"]
+        assert (await w.ask(job()))[0] == 200
+
+
+@story
+async def test_many_dispatchers_spread_their_first_call_and_few_do_not(monkeypatch):
+    def spread(dispatchers, seed):
+        return RoutingTable(None, None, None, ("", 1), None, dispatchers, seed)._spread
+    first = sorted(spread(40, seed) for seed in range(400))
+    assert 0 <= first[0] and first[-1] <= 4_000_000 and spread(4, 1) == 0
+    assert max(sum(a <= x < a + 500_000 for x in first) for a in first) < 100   # of 400, 50 on average in 0.5 s
+    monkeypatch.setattr(routing_table, "SPREAD", 3_600_000_000)
+    async with World(serve, siblings=40) as w:
+        assert (await w.ask(job()))[0] == 200   # the known hosts serve meanwhile
+        await asyncio.sleep(0.1)
+        assert not w.discovery.got and not w.dispatcher.ready
+
+
 @story
 async def test_a_silent_discovery_is_a_failure_and_the_known_hosts_serve_on(monkeypatch):
     monkeypatch.setattr(routing_table, "CALL_TIME", 50_000)
@@ -609,7 +641,8 @@
         process.terminate()
         while line := await process.stderr.readline():
             seen += line
-        assert b"leg over" not in seen and seen.count(b" warning stalled ") >= 2
+        legs = [line for line in seen.splitlines() if b" leg over " in line]
+    assert legs and all(b" result=ok " in line for line in legs) and seen.count(b" warning stalled ") >= 2
 
 
 @story
