Keep thin traffic at home, space second copies, learn a kind's pace by job

The hall with more traffic started 11% of jobs at once at home, 61% away. Lines at fault: the stretch in _list, the pause in _send, _learn. Change: stretches of the own hall, a part of first attempts away by how much more seldom jobs start at once at home; copies at growing intervals, rather to hosts asked before; a kind's pace by job; timers of the module in agenda.py.

--- a/heathcrank/brain.py
+++ b/heathcrank/brain.py
@@ -9,11 +9,11 @@
 
 from bisect import bisect_left, insort
 from collections import deque
-from heapq import heappop, heappush
 from random import Random
 from typing import Any, Callable, Deque, Dict, List, Optional, Tuple
 
 from . import interface as i
+from .agenda import Agenda
 from .records import Attempt, Job, Kind, Worker
 
 LONG_SHARE = 0.03    # the largest 3 percent of the hints seen are long, as in the paper
@@ -31,6 +31,9 @@
 DRAWN = 2            # workers probed for a job, more drew all to the same ones; or tried beyond those near
 TIGHT = 0.8          # beyond this part of the time left to be in time, an expected run is a gamble: hints are rough
 QUIET = 3            # reports of progress missing in a row after which a worker counts as gone silent
+LEAD = 0.2           # as much more seldom may jobs start at once at home, twice, before any goes away
+MOST_AWAY = 0.7      # part of the first attempts that goes away at most: home must show when it is better again
+SICK = 3.0           # a run of so many times its hint or more speaks of its worker
 STACK = 0.05         # share of jobs sent on top of own ones there
 
 
@@ -45,19 +48,19 @@
         self.workers: Dict[i.WorkerId, Worker] = {}
         self.kinds: Dict[int, Kind] = {}
         self.fleet: List[Worker] = []  # the ready ones
-        self.near: List[Worker] = []   # those that this dispatcher keeps to
+        self.near: List[Worker] = []   # those that this dispatcher keeps to, in its own zone and
+        self.far: List[Worker] = []    # in others, where crossing has a price
+        self.busy = {False: UNKNOWN, True: UNKNOWN}  # away or not: share of late that did not start at once
         self.few = True                # it keeps to all: own traffic is a fair part of a worker's
         self.jobs: Dict[int, Job] = {}
         self.held: List[Tuple[int, int, Job]] = []  # by the latest start that still meets the aim
         self.hints: Deque[int] = deque(maxlen=SAMPLE)
         self.seen, self.cutoff, self.mean = 0, 0, 0.0  # hints; of the sample: where long begins, the mean
-        self.soon = 0.0  # how soon a start is told at best
-        self.agenda: List[Tuple[int, int, Callable[[], Any], Optional[Job]]] = []  # void once the job is done
-        self.order, self.wake, self.now, self.checking = 0, 0, 0, False
+        self.soon = (settings.connect_timeout or 100_000) / 10  # how soon a start is told at best
+        self.agenda, self.now, self.checking = Agenda(), 0, False
         self.subscribed, self.backoff, self.ask_at = False, FIRST_RETRY, 0
         self.out: List[i.Action] = []
-        # Whether a worker drops what is cancelled is not told: where it does not, copies are paid by the jobs
-        # that may not be copied. So they are made only where all may be.
+        # Whether a worker drops what is cancelled is not told: if not, jobs that may not be copied pay for copies.
         self.copies = (settings.tells_start and settings.second_copies and settings.can_cancel
                        and all(c.semantics != i.UNSAFE for c in settings.classes))
         self.handlers: Dict[type, Any] = {
@@ -67,7 +70,7 @@
 
     def handle(self, now: int, event: i.Event) -> List[i.Action]:
         self.now = now
-        if not self.order:
+        if not self.agenda.order:
             self._subscribe()
         handler = self.handlers.get(type(event))
         if handler:
@@ -75,29 +78,11 @@
         out, self.out = self.out, []
         return out
 
-    # Time: one timer is out at most, for the earliest entry of the agenda.
-
     def _at(self, when: int, act: Callable[[], Any], job: Optional[Job] = None) -> None:
-        self.order += 1
-        heappush(self.agenda, (when, self.order, act, job))
-        self._arm(when)
-
-    def _arm(self, when: int) -> None:
-        if not self.wake or when < self.wake:
-            self.wake = when
-            self.out.append(i.SetTimer(max(when - self.now, 1), when))
+        self.agenda.add(when, act, job, self.now, self.out)
 
     def _timer(self, e: i.Timer) -> None:
-        self.wake = 0 if e.token == self.wake else self.wake
-        while self.agenda:
-            when, _, act, job = self.agenda[0]
-            done = job is not None and job.done
-            if when > self.now and not done:
-                self._arm(when)
-                return
-            heappop(self.agenda)
-            if not done:
-                act()
+        self.agenda.fire(e.token, self.now, self.out)
 
     # Rule 3: the list. A worker that is not ready is out of the scan from the first word on.
 
@@ -113,8 +98,7 @@
     def _list(self, e: i.WorkerList) -> None:
         if e.scope == i.FAILED:
             self.subscribed = False  # it is out or overloaded: ask again later each time, within what rule 3 allows
-            # All dispatchers may have failed together: 0.1 s for each spreads them, or they would do so once more.
-            spread = min(FIRST_RETRY * self.settings.dispatchers // 5, self.settings.ask_within)
+            spread = min(FIRST_RETRY * self.settings.dispatchers // 5, self.settings.ask_within)  # they failed together
             self._ask_after(int(self.backoff + (self.backoff + spread) * self.random.random()))
             self.backoff = min(self.backoff * 2, self.settings.ask_within)
             return
@@ -133,17 +117,30 @@
             w.info, w.size = info._replace(since=w.info.since), max(info.weight, 1e-6) ** 2
         # A cold one that is gone may be listed again; what was sent to it still counts in its budget.
         self.workers = {w.id: w for w in self.workers.values() if w.info.state != i.GONE or self._is_cold(w)}
-        # The workers in one order for all dispatchers, cells together; each keeps to a stretch of it.
         ready = [w for w in self.workers.values() if w.info.state == i.READY]
         fleet = self.fleet = sorted(ready, key=lambda w: w.place)
-        d = self.settings.dispatchers
-        start, size = self.settings.number * len(fleet) // d, max(NEAR, -(-SHARE * len(fleet) // d))
+        size = max(NEAR, -(-SHARE * len(fleet) // self.settings.dispatchers))
         self.few = size >= len(fleet)
-        near = fleet if self.few else (fleet + fleet)[start:start + size]
+        home, away = ([w for w in fleet if self._is_away(w) == side] for side in (False, True))
+        near, self.far = fleet if self.few else self._stretch(home or fleet, size), self._stretch(away, size)
         # A cold worker's few parts would lie idle with dispatchers that keep to others.
         self.near = near + [w for w in fleet if self._is_cold(w) and self._turn(w) < PARTS and w not in near]
         self._release()
 
+    def _stretch(self, workers: List[Worker], size: int) -> List[Worker]:
+        """Its own few of the workers, which are in one order for all dispatchers, cells together."""
+        start = self.settings.number * len(workers) // self.settings.dispatchers
+        return workers if size >= len(workers) else (workers + workers)[start:start + size]
+
+    def _side(self) -> List[Worker]:
+        """Where a first attempt goes: home, as crossing has its price, but for a part that grows with how much more
+        seldom jobs start at once at home than away."""
+        away = self.far and self.random.random() < min(2 * (self.busy[False] - self.busy[True]) - LEAD, MOST_AWAY)
+        return self.far if away and not self.few else self.near
+
+    def _is_away(self, w: Worker) -> bool:
+        return self.settings.cross_zone_cost > 0 and w.info.zone != self.settings.zone
+
     # Rule 4: a cold worker's budget of hinted work in any rolling window, this dispatcher's part of it. A
     # small job counts as a mean one: many of them push a worker over as surely as a heavy one.
 
@@ -188,7 +185,8 @@
         if self._is_cold(w):
             took *= self._cold_share(w)
         else:
-            w.kind.work, w.kind.took = w.kind.work * 0.99 + work, w.kind.took * 0.99 + took
+            # By job: by run time, one on a sick worker told as much of its kind as dozens.
+            w.kind.work, w.kind.took = w.kind.work * 0.99 + 1, w.kind.took * 0.99 + min(took / work, SICK)
         w.work, w.took, w.seen = w.work * 0.8 + work, w.took * 0.8 + took, self.now
 
     # Rule 2: what may still be sent where, and what may be refused.
@@ -241,12 +239,13 @@
         job = Job(e, self.settings.classes[e.class_index], e.hint > self.cutoff > 0, self.now + e.time_left)
         aim = job.cls.aim + int(job.cls.stretch * e.hint) - self._waited(e, job.cls)
         job.due = min(self.now + aim, job.deadline)
-        self.jobs[job.id] = job
+        self.jobs[job.id], job.near = job, self.near
         self._at(max(job.deadline - 2 * self.settings.tick, self.now), lambda: self._answer(job), job)
         if self._over_quota(e.tenant) and self.held and not job.attempts:
             self._answer(job)  # worth little beyond its tenant's share: it yields while others are held
         elif self.settings.can_probe and not self.few:
-            for w in self._draw(self.near):
+            job.near = self._side()
+            for w in dict.fromkeys(self._draw(job.near)):
                 w.queue, w.heard = 9.0, self.now  # full unless it answers
                 self.out.append(i.Probe(w.id))
             self._at(self.now + self._patience(), lambda: self._place_or_hold(job), job)
@@ -321,7 +320,7 @@
         return self.random.choices(pool, [w.size for w in pool], k=DRAWN) if pool else []
 
     def _place(self, job: Job) -> bool:
-        pool = [w for w in self.fleet if self._may_send(job, w)] if job.maybe else self.near
+        pool = [w for w in self.fleet if self._may_send(job, w)] if job.maybe else job.near
         for pool in (pool, [] if self.few or job.maybe else self._draw(self.fleet)):
             w = self._choose(job, [w for w in pool if self._is_open(w)])
             if w is not None:
@@ -341,10 +340,12 @@
             w.sent.append((self.now, max(job.hint, self.mean)))
         self.out.append(i.Send(job.id, w.id))
         if self.copies and not self.few:
-            self._at(self.now + self._patience(), lambda: self._copy(job, a), job)
+            # Each later copy waits four times as long: all at once, they met the same queues everywhere.
+            self._at(self.now + (self._patience() << 2 * len(job.attempts) - 2), lambda: self._copy(job, a), job)
 
     def _copy(self, job: Job, a: Attempt) -> None:
         """A job not started as soon as on an idle worker waits behind others': try another worker too."""
+        self.busy[self._is_away(a.worker)] += (float(not a.started) - self.busy[self._is_away(a.worker)]) * 0.1
         if a.open and not any(x.started for x in job.attempts if x.open):
             self._place(job)
 
@@ -368,16 +369,16 @@
             if self.now + took > job.due:
                 continue  # it would be late there
             # Where crossing zones has a price, it weighs as part of an own job: near-idle picks stay at home.
-            away = 0.3 if self.settings.cross_zone_cost and w.info.zone != self.settings.zone else 0.0
+            away = self._is_away(w)
             if self.few:
                 tight = 0.3 * (took > TIGHT * (job.due - self.now))
                 trial = 5.0 if w.strikes and job.attempts else 0.0  # not with a job that has failed once already
-                rank = (w.tally + away) / w.kind.slots + 0.05 / speed + tight + trial, 0.0  # the faster near equal
+                rank = (w.tally + 0.3 * away) / w.kind.slots + 0.05 / speed + tight + trial, 0.0  # faster first
             else:
-                # Own tallies are nearly all 0: what was heard of others' jobs settles it. Learned pace would
-                # not do: the best by it are the same few workers for everybody.
-                queue = w.queue if self.now - w.heard < FORGET else UNKNOWN
-                rank = w.tally * (-1 if stack else 1) / w.kind.slots, away + w.strikes + queue
+                # Own tallies are nearly all 0: what was heard of others' jobs settles it, not pace: all like the same.
+                queue = w.queue if self.now - w.heard < FORGET else self.busy[away]
+                new = 0.2 * away + 0.2 * (not w.heard and bool(job.attempts))  # a connection for one copy has a price
+                rank = w.tally * (-1 if stack else 1) / w.kind.slots, new + w.strikes + queue
             if self._is_cold(w):
                 if self._cold_room(w) < max(job.hint, self.mean, 1):
                     continue
@@ -424,7 +425,7 @@
             a.worker.running += job.slots
             w, kind, took = a.worker, a.worker.kind, self.now - a.sent
             w.queue, w.heard = min(took / (self._patience() + job.hint), 1.0), self.now
-            self.soon = min(took, self.soon * 1.02 or took)
+            self.soon = min(took, self.soon * 1.02)
             # The first copy to start is the one that stays.
             first = min((x for x in job.attempts if x.open and x.started), key=lambda x: x.started)
             self.out += [i.Cancel(job.id, n) for n, x in enumerate(job.attempts)
@@ -510,7 +511,6 @@
         """The client left, or a stream has started and is the client's: nothing more is owed."""
         job = self.jobs.get(e.request)
         if job:
-            if self.settings.can_cancel and type(e) is i.ClientGone:
-                # Nobody waits for what is out: its slots serve others.
+            if self.settings.can_cancel and type(e) is i.ClientGone:  # the slots of what is out serve others
                 self.out += [i.Cancel(job.id, n) for n, a in enumerate(job.attempts) if a.open]
             self._finish(job)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -35,9 +35,9 @@
     def later(self, us):
         """Time passes; the timer that is out is delivered when due."""
         end, out = self.now + us, []
-        while self.d.wake and self.d.wake <= end:
-            self.now = self.d.wake
-            out += self.feed(i.Timer(self.d.wake))
+        while self.d.agenda.wake and self.d.agenda.wake <= end:
+            self.now = self.d.agenda.wake
+            out += self.feed(i.Timer(self.d.agenda.wake))
         self.now = end
         return out
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -36,7 +36,7 @@
     def note(self, d, actions):
         for request, worker in sends(actions):
             self.log.append((d.now, worker, self.since[worker], self.work[request]))
-            self.due.append((d.now + self.work[request], request, worker, d))
+            self.due += [(d.now, request, worker, d.start), (d.now + self.work[request], request, worker, d.end)]
 
     def run(self, seconds, per_second=8):
         self.work = getattr(self, "work", {})
@@ -49,12 +49,11 @@
                     self.work[self.next] = self.r.choice(self.hints)
                     self.note(d, d.ask(self.next, self.work[self.next]))
             now, rest = self.ds[0].now, []
-            for when, request, worker, d in self.due:
+            for when, request, worker, happens in self.due:
                 if when > now:
-                    rest.append((when, request, worker, d))
+                    rest.append((when, request, worker, happens))
                 else:
-                    self.note(d, d.start(request, 0, worker))
-                    self.note(d, d.end(request, 0, worker))
+                    self.note(happens.__self__, happens(request, 0, worker))
             self.due = rest
 
     def most_over_budget(self, capacity, s):
@@ -312,3 +311,57 @@
         d.later(200 * MS)
         d.start(1, 0, w)
         assert d.d.kinds[0].delays[0][0] == part * 200 * MS
+
+
+def zoned(hosts=30, **over):
+    """Half of the hosts at home (zone 0), half away; probes, copies and a price for crossing."""
+    fleet = tuple(w._replace(zone=n % 2) for n, w in enumerate(infos(2 * hosts)))
+    safe = i.RequestClass("job", i.SAFE, 4 * SEC, 6 * SEC, 2.0)
+    return many(dispatchers=40, fleet=fleet, cls=safe, zone=0, cross_zone_cost=0.03, can_probe=True, second_copies=True,
+                can_cancel=True, tells_start=True, connect_timeout=150 * MS, **over)
+
+
+def first_sends(d, jobs, starts):
+    """Jobs one by one; those sent to a zone of `starts` start at once. The zones of the first attempts."""
+    zones = []
+    for rid in range(1, jobs + 1):
+        d.ask(rid)
+        sent = []
+        for _ in range(50):
+            for _, worker in sends(d.later(20 * MS)):
+                sent.append((worker, d.d.workers[worker].info.zone))
+                if sent[-1][1] in starts:
+                    d.start(rid, len(sent) - 1, worker)
+        zones.append(sent[0][1])
+        for n, (worker, zone) in enumerate(sent):
+            d.end(rid, n, worker, i.OK if zone in starts else i.CANCELLED)
+    return zones
+
+
+def test_first_attempts_stay_at_home_until_jobs_start_at_once_only_away():
+    d = zoned()
+    calm = first_sends(d, 60, starts={0, 1})
+    assert calm.count(1) == 0
+    busy = first_sends(zoned(seed=2), 120, starts={1})
+    assert 0.3 < busy[60:].count(1) / 60 < 0.9   # never all: home must show when it is better again
+
+
+def test_a_job_is_copied_at_growing_intervals_not_all_at_once():
+    d = zoned()
+    d.ask(1)
+    sent = [d.now for _ in range(1500) for _ in sends(d.later(2 * MS))]
+    assert len(sent) == 4
+    gaps = [b - a for a, b in zip(sent, sent[1:])]
+    assert gaps[1] >= 3 * gaps[0] and gaps[2] >= 3 * gaps[1]
+
+
+def test_one_sick_worker_does_not_make_its_kind_look_slow():
+    """A run twenty times its hint, weighed by its length, had jobs with ample time refused without an attempt."""
+    d = zoned()
+    for rid, slow in ((1, 20), (2, 1), (3, 1)):
+        (_, worker), *_ = sends([*d.ask(rid, 2 * SEC, 200 * SEC), *d.later(50 * MS)])
+        d.start(rid, 0, worker)
+        d.later(slow * 2 * SEC)
+        d.end(rid, 0, worker)
+    assert sends([*d.ask(9, 3 * SEC, 20 * SEC), *d.later(50 * MS)])   # aim 4 s and twice its hint
+    assert min(k.speed() for k in d.d.kinds.values()) > 0.5
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -422,7 +422,8 @@
         await until(lambda: w.hosts[0].got)
         process.terminate()
         while process.returncode is None:   # harmless during a drain, to the very end
-            process.send_signal(signal.SIGHUP)
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(process.pid, signal.SIGHUP)   # its own send_signal may reap the child behind asyncio's back: 255
             await asyncio.sleep(0.002)
         assert (await answer)[0] == 200 and process.returncode == 0
 
