--- a/heathcrank/brain.py
+++ b/heathcrank/brain.py
@@ -132,11 +132,10 @@
         start = self.settings.number * len(workers) // self.settings.dispatchers
         return workers if size >= len(workers) else (workers + workers)[start:start + size]
 
-    def _side(self) -> List[Worker]:
-        """Where a first attempt goes: home, as crossing has its price, but for a part that grows with how much more
-        seldom jobs start at once at home than away."""
-        away = self.far and self.random.random() < min(2 * (self.busy[False] - self.busy[True]) - LEAD, MOST_AWAY)
-        return self.far if away and not self.few else self.near
+    def _leaves(self) -> bool:
+        """Does a first attempt go away? Only a part, as crossing has its price, which grows with how much more seldom
+        jobs start at once at home than away."""
+        return self.random.random() < min(2 * (self.busy[False] - self.busy[True]) - LEAD, MOST_AWAY)
 
     def _is_away(self, w: Worker) -> bool:
         return self.settings.cross_zone_cost > 0 and w.info.zone != self.settings.zone
@@ -185,8 +184,8 @@
         if self._is_cold(w):
             took *= self._cold_share(w)
         else:
-            # By job: by run time, one on a sick worker told as much of its kind as dozens.
-            w.kind.work, w.kind.took = w.kind.work * 0.99 + 1, w.kind.took * 0.99 + min(took / work, SICK)
+            # At most so long: one run on a sick worker told as much of its kind as dozens on others.
+            w.kind.work, w.kind.took = w.kind.work * 0.99 + work, w.kind.took * 0.99 + min(took, SICK * work)
         w.work, w.took, w.seen = w.work * 0.8 + work, w.took * 0.8 + took, self.now
 
     # Rule 2: what may still be sent where, and what may be refused.
@@ -239,13 +238,13 @@
         job = Job(e, self.settings.classes[e.class_index], e.hint > self.cutoff > 0, self.now + e.time_left)
         aim = job.cls.aim + int(job.cls.stretch * e.hint) - self._waited(e, job.cls)
         job.due = min(self.now + aim, job.deadline)
-        self.jobs[job.id], job.near = job, self.near
+        self.jobs[job.id] = job
         self._at(max(job.deadline - 2 * self.settings.tick, self.now), lambda: self._answer(job), job)
         if self._over_quota(e.tenant) and self.held and not job.attempts:
             self._answer(job)  # worth little beyond its tenant's share: it yields while others are held
         elif self.settings.can_probe and not self.few:
-            job.near = self._side()
-            for w in dict.fromkeys(self._draw(job.near)):
+            job.away = bool(self.far) and self._leaves()
+            for w in dict.fromkeys(self._draw(self.far if job.away else self.near)):
                 w.queue, w.heard = 9.0, self.now  # full unless it answers
                 self.out.append(i.Probe(w.id))
             self._at(self.now + self._patience(), lambda: self._place_or_hold(job), job)
@@ -320,7 +319,7 @@
         return self.random.choices(pool, [w.size for w in pool], k=DRAWN) if pool else []
 
     def _place(self, job: Job) -> bool:
-        pool = [w for w in self.fleet if self._may_send(job, w)] if job.maybe else job.near
+        pool = [w for w in self.fleet if self._may_send(job, w)] if job.maybe else self.far if job.away else self.near
         for pool in (pool, [] if self.few or job.maybe else self._draw(self.fleet)):
             w = self._choose(job, [w for w in pool if self._is_open(w)])
             if w is not None:
--- a/heathcrank/records.py
+++ b/heathcrank/records.py
@@ -10,7 +10,7 @@
 
 
 class Kind:
-    """What has been learned of all workers of one kind: warm jobs, their run times over their hints, fading."""
+    """What has been learned of all workers of one kind, in warm work done per run time, fading."""
     def __init__(self) -> None:
         self.work, self.took, self.most = 0.0, 0.0, 1.0  # most: slots ever seen, free or with own jobs
         # By own jobs in flight there at the send: how long starts took to be told, and when one was last.
@@ -18,7 +18,7 @@
         self.slots, self.tested = 1.0, 0   # most own slots seen running on one; sends beyond that that waited
 
     def speed(self) -> float:
-        return (self.work + 2) / (self.took + 2)  # two jobs at nominal speed before the first
+        return self.work / self.took if self.took else 1.0
 
 
 class Worker:
@@ -47,7 +47,7 @@
         self.due = self.start_by = deadline  # its answer is late after due; hopeless if not started by then
         self.id, self.cls, self.hint, self.slots, self.long, self.deadline = (
             r.request, cls, r.hint, r.slots, long, deadline)
-        self.near: List[Worker] = []  # where its first attempt may go
+        self.away = False  # its first attempt may go to other zones
         self.attempts: List[Attempt] = []
         self.open, self.done, self.held, self.believed = 0, False, False, False
         self.maybe: Optional[Attempt] = None  # the first attempt that is out or may have run
