A watch that falls silent is begun anew at once; lists that an agent holds are watched

Ruled out: discovery slow (answers come 2 ms after their waits), the module late with what it knew. Cause: WAIT_MS 5 s + CALL_TIME 1.5 s in routing_table.py before a silent watch counts as broken, then the module's pause for a discovery that is out, up to 20 s at 200 dispatchers. Now each wait is drawn from 1.5 to 3.5 s, a watch is silent 0.4 s after it, and a second look follows at once. Also: with registryMode automatic nobody ever asked; the table does now. tests/test_silence.py fails without each part.

--- a/badgerroad/discovery/routing_table.py
+++ b/badgerroad/discovery/routing_table.py
@@ -15,12 +15,19 @@
 
 log = logs.get("badgerroad")
 
-WAIT_MS = 5_000          # how long a watch waits for news: short, as a silent discovery shows only after it
+# How long a watch waits for news, drawn anew for each call. What one that has fallen silent misses counts as told 6 s
+# after it did so; it shows SILENCE after its wait, and the second look takes CALL_TIME at most: 5.4 s. News ends the
+# watches of all dispatchers at one moment: with one wait for all, 200 second looks came at one moment too.
+LEAST_WAIT_MS, WAIT_MS = 1_500, 3_500
+SILENCE = 400_000        # beyond its wait, how long a watch is waited for; answers without news come 2 ms after it
 # A list of 10,000 hosts is 1.4 MB, 2.5 MB with long names; the 64 KiB of other messages hold 450. The ring grows to it
 # only while such a list is on its way, and shrinks after it.
 LIST_LIMIT = 4 * 1024 * 1024
 SLICE = 250              # hosts read in one go: 10,000 take 60 ms, in which nobody else would be served
-CALL_TIME = 1_500_000    # beyond its wait, how long a call may take
+CALL_TIME = 1_500_000    # how long another call may take: it waits in turn with those of all dispatchers
+# A pushed list is held by an agent beside this process, and counts as told as soon as the agent has it, whoever asks.
+# So it is asked again soon, which burdens nobody else.
+AGENT_PAUSE = 200_000
 # After a move the first list is asked for again and again for a while: the news counts as told 4 s after it, and the
 # module's own pause after a failure may have grown beyond that while the old address was failing.
 MOVE_PATIENCE = 3_000_000
@@ -37,6 +44,11 @@
     """What came is not a list of hosts."""
 
 
+class Silent(Broken):
+    """A watch said nothing when its wait was over: it is broken, which no end of the connection shows. Discovery itself
+    may be well."""
+
+
 def address_of(text: Any) -> Address:
     host, colon, port = str(text).rpartition(":")
     if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
@@ -123,12 +135,15 @@
         self.wheel, self.descriptors, self.reader, self.address, self.news = (
             wheel, descriptors, reader, address, news)
         self.seq: Optional[int] = None   # of the list held; None: the whole list is needed
-        self._spread = int(random.Random(seed).random() * SPREAD * dispatchers) if dispatchers > FEW else 0
+        self._random = random.Random(seed)
+        self._spread = int(self._random.random() * SPREAD * dispatchers) if dispatchers > FEW else 0
+        self._pushed = False      # the list comes from an agent: it is watched unasked, from the first moment on
         self.heard = False        # discovery has answered or failed once
         self.entries: Dict[str, i.WorkerInfo] = {}
         self.listed: Dict[str, str] = {}
         self.halls: Dict[str, str] = {}   # by host, for the log
         self._watching = self._wanted = False
+        self._looking = False     # the next call is a second look, after a watch that fell silent: it does not wait
         self._moved: Optional[int] = None   # when; until the new address has told its whole list
         self._moves = 0
         self._connection: Optional[CallConnection] = None
@@ -155,6 +170,13 @@
             self._watching = True
             spawn(self._watch())
 
+    def pushed(self, on: bool) -> None:
+        """The settings say whether an agent holds the list, which counts as told once the agent has it."""
+        self._pushed = on
+        if on:
+            self._spread = 0
+            self.subscribe(True)
+
     def move(self, address: Address) -> None:
         """Discovery is elsewhere now: leave the old address and start at the new one, from the whole list."""
         if address == self.address:
@@ -198,33 +220,50 @@
                     log.info("discovery failed", why=str(e))
                     if isinstance(e, BadList):
                         self.seq = None
-                    if moves == self._moves and not await self._may_insist():
+                    if moves == self._moves and not await self._may_insist(e):
                         break
                 if moves != self._moves:
                     self.seq = None
         finally:
             # Whatever ended it, the module must hear so, or it would never ask again.
-            self._watching, self.heard, self._spread = False, True, 0
+            self._watching, self.heard, self._spread, self._looking = False, True, 0, False
             if self._wanted:
                 self.news(i.WorkerList(i.FAILED), {})
+            if self._pushed:
+                self.wheel.after(AGENT_PAUSE, lambda: self.subscribe(self._wanted))
 
     async def _next(self) -> None:
-        target, wait = b"/api/targets", 0
+        target, wait, patience = b"/api/targets", 0, CALL_TIME
         if self.seq is not None:
             # The first answer is what readiness waits for: it comes at once, changes or none.
-            wait = WAIT_MS if self.heard else 0
+            if self.heard and not self._looking:
+                wait = self.draw_wait()
+                patience = wait * 1000 + SILENCE
             target = b"/api/targets?index=%d&wait=%d" % (self.seq, wait)
-        moves = self._moves
-        news, places = await self._call(target, wait * 1000)
+        moves, begun = self._moves, self.wheel.clock.now()
+        try:
+            news, places = await self._call(target, patience)
+        except Broken as e:
+            if wait and self.wheel.clock.now() - begun >= patience:
+                raise Silent(True, "the watch has fallen silent") from e
+            raise
         if news.scope == i.CHANGES and self.seq is not None and news.version < self.seq:
             raise BadList(f"version {news.version} after {self.seq}")
         if moves == self._moves:
             self._moved = None
-        self.seq, self.heard = news.version, True
+        self.seq, self.heard, self._looking = news.version, True, False
         self._tell(news, places)
 
-    async def _may_insist(self) -> bool:
-        """Pause after a failure that is not the module's yet: the new address has not told its list so far."""
+    def draw_wait(self) -> int:
+        """Milliseconds that the next watch may wait."""
+        return self._random.randint(LEAST_WAIT_MS, WAIT_MS)
+
+    async def _may_insist(self, e: Exception) -> bool:
+        """After a failure that is not the module's yet: a watch fell silent and discovery has not been asked again, or
+        the new address has not told its list so far. Pauses where asking at once could do harm."""
+        if isinstance(e, Silent):
+            self._looking = True
+            return True
         if self._moved is None or self.wheel.clock.now() - self._moved > MOVE_PATIENCE:
             return False
         await self._pause(MOVE_PAUSE)
@@ -238,20 +277,21 @@
     async def _fetch(self) -> None:
         connection = CallConnection(self.descriptors, LIST_LIMIT)
         try:
-            self._tell(*await self._call(b"/api/targets", 0, connection))
+            self._tell(*await self._call(b"/api/targets", CALL_TIME, connection))
         except (Broken, BadList) as e:
             log.info("discovery failed", why=str(e))
             self.news(i.WorkerList(i.FAILED), {})
         finally:
             connection.close()
 
-    async def _call(self, target: bytes, wait: int, connection: Optional[CallConnection] = None
+    async def _call(self, target: bytes, patience: int, connection: Optional[CallConnection] = None
                     ) -> Tuple[i.WorkerList, Dict[str, Address]]:
+        """It is broken off after `patience` microseconds."""
         mine = connection or self._connection
         if connection is None and (mine is None or not mine.reusable):
             mine = self._connection = CallConnection(self.descriptors, LIST_LIMIT)
         assert mine is not None
-        timer = self.wheel.after(wait + CALL_TIME, mine.close, patient=True)
+        timer = self.wheel.after(patience, mine.close, patient=True)
         try:
             if not mine.reusable:
                 await mine.connect(self.address)
--- a/badgerroad/dispatcher.py
+++ b/badgerroad/dispatcher.py
@@ -97,6 +97,7 @@
     def begin(self, known: Any) -> None:
         """Take the list as it was last held, and ask discovery for what has changed."""
         self.table.known(known)
+        self.table.pushed(not self.settings.subscribe)
 
     def reload(self, config: Config) -> None:
         """A configuration read anew and checked: its settings hold from now on, all that is in flight goes on, and
@@ -109,6 +110,7 @@
         self.config = self.config._replace(discovery=config.discovery, settings=config.settings, zones=config.zones,
                                            kinds=config.kinds, keys=config.keys)
         self._change(config)
+        self.table.pushed(not self.settings.subscribe)
         self.table.move(config.discovery)
 
     def limit(self, limits: "Optional[Limits]") -> None:
--- /dev/null
+++ b/tests/test_silence.py
@@ -0,0 +1,101 @@
+"""A watch that falls silent, and lists that an agent beside the dispatcher holds: what is told must be known in time."""
+
+import asyncio
+import json
+
+import pytest
+from net import World, job, reply, serve, story, until
+
+from badgerroad.discovery import routing_table as rt
+from heathcrank import interface as i
+
+TOLD = 6_000_000   # after a watch fell silent, what it misses counts as told
+
+
+def listed(w, seq, state="ready", whole=True):
+    hosts = [{**e, "health": state} for e in w.entries]
+    return reply(200, json.dumps({"seq": seq, "whole": whole, "hosts": hosts}, indent=2).encode())
+
+
+def heard_by(w):
+    """What the module is told of the list from now on."""
+    scopes, handle = [], w.dispatcher.decisions.handle
+    w.dispatcher.decisions.handle = lambda now, e: (
+        scopes.append(e.scope) if type(e) is i.WorkerList else None) or handle(now, e)
+    return scopes
+
+
+def test_what_a_silent_watch_misses_is_known_before_it_counts_as_told():
+    assert rt.WAIT_MS * 1000 + rt.SILENCE + rt.CALL_TIME <= TOLD
+    waits = sorted(rt.RoutingTable(None, None, None, ("", 1), None, 200, seed).draw_wait() for seed in range(200))
+    assert max(sum(a <= w < a + 500 for w in waits) for a in waits) < 80   # of 200 that fell silent together, in 0.5 s
+
+
+@pytest.mark.parametrize("second_look", ["answered", "failed", "silent"])
+@story
+async def test_a_silent_watch_is_begun_anew_at_once_and_only_then_is_discovery_out(second_look, monkeypatch):
+    for name, value in (("LEAST_WAIT_MS", 40), ("WAIT_MS", 60), ("SILENCE", 40_000), ("CALL_TIME", 200_000)):
+        monkeypatch.setattr(rt, name, value)
+    silent, looks = asyncio.Event(), []
+
+    async def script(head, _body):
+        if not silent.is_set() or b"wait=0" not in head:
+            await asyncio.sleep(60 if silent.is_set() else 0)
+            return reply(200, b'{"seq": 2, "whole": false, "hosts": []}')
+        looks.append(head)
+        await asyncio.sleep(60 if second_look == "silent" else 0)
+        return listed(w, 3, "draining") if second_look == "answered" else reply(503)
+    w = World(serve, discovery=script)
+    async with w:
+        await until(lambda: len(w.discovery.got) > 3)
+        scopes, since = heard_by(w), len(w.discovery.got)
+        silent.set()
+        if second_look == "answered":
+            await until(lambda: scopes and scopes[-1] == i.WHOLE)
+            assert i.FAILED not in scopes and not w.dispatcher.decisions.fleet
+            await until(lambda: b"index=3&wait=" in w.discovery.got[-1][0])   # a watch again
+        else:
+            await until(lambda: scopes and scopes[-1] == i.FAILED)
+        assert len(looks) == 1 and len(w.discovery.got) <= since + 3
+        waits = [int(head.split(b"wait=")[1].split(b" ")[0]) for head, _ in w.discovery.got[1:]]
+        assert all(40 <= wait <= 60 or not wait for wait in waits)
+
+
+PUSHED = {"registryMode": "automatic", "siblings": 200, "index": 7}
+
+
+@story
+async def test_a_list_that_an_agent_holds_is_asked_for_at_once_by_a_new_process():
+    """Nothing asks for it in the settings' sense: such a dispatcher never asked, and was never ready."""
+    async with World(serve, discovery=lambda head, _body: listed(w, 5, "draining"), **PUSHED) as w:
+        await until(lambda: w.dispatcher.ready)
+        assert not w.dispatcher.decisions.fleet and (await w.ask(job(timeout=300)))[0] == 503 and not w.hosts[0].got
+
+
+@story
+async def test_an_agent_is_asked_again_soon_after_an_outage(monkeypatch):
+    monkeypatch.setattr(rt, "AGENT_PAUSE", 20_000)
+    out = asyncio.Event()
+
+    async def script(head, _body):
+        if out.is_set():
+            return None   # broken off
+        return listed(w, 2) if b"wait=0" in head else await w.lists.get()
+    w = World(serve, discovery=script, **PUSHED)
+    async with w:
+        await until(lambda: w.dispatcher.ready and len(w.discovery.got) == 2)
+        out.set()
+        w.lists.put_nowait(None)
+        await until(lambda: len(w.discovery.got) > 9)   # the module alone would have asked again after some 20 s
+        out.clear()
+        w.lists.put_nowait(listed(w, 3, "draining"))
+        await until(lambda: not w.dispatcher.decisions.fleet)
+
+
+@story
+async def test_a_reload_to_pushed_lists_watches_unasked():
+    async with World(serve, discovery=lambda head, _body: listed(w, 2), siblings=200) as w:
+        assert not w.dispatcher.table.heard
+        config = w.dispatcher.config
+        w.dispatcher.reload(config._replace(settings=config.settings._replace(subscribe=False)))
+        await until(lambda: w.dispatcher.ready)
