Parts of a cold host's budget take one job of up to three means; answers before SIGKILL; companions

Cause: where a part is below one job (_cold_room) only jobs smaller than the mean fitted. Now one job of up to three means a part, budget 0.6 N + 1.5 roots of N on thin traffic.

After SIGTERM what still comes is given the time that is left until SIGKILL, so that the module declines at once what cannot be done; it was taken with its full wait and lost.

A move of discovery ends the pause before a new process's first call.

The circle of dispatcher, moving, succession and crew is broken: they stand behind Companion, and a contract holds it.

--- a/badgerroad/crew/member.py
+++ b/badgerroad/crew/member.py
@@ -7,9 +7,11 @@
 import socket
 from typing import TYPE_CHECKING, Any, Callable, Dict, Mapping, NamedTuple, Optional
 
+from badgerroad.companion import Companion
 from badgerroad.config import BadConfig, Config, parse, read, reread
 from badgerroad.crew import words
 from badgerroad.dispatcher import Dispatcher
+from badgerroad.limiting import limit
 from badgerroad.net import logs, packets
 from badgerroad.net.link import Link
 from badgerroad.net.wheel import Wheel
@@ -75,7 +77,7 @@
     return part.of(read(data, environment) if present is None else reread(data, environment, present))
 
 
-class Member:
+class Member(Companion):
     def __init__(self, joined: Joined, dispatcher: Dispatcher, wheel: Wheel, stop: Callable[[], None]) -> None:
         """`stop`: what a SIGTERM does; also the end of the supervisor, which must leave no orphans."""
         self.part, self.dispatcher, self.wheel = joined.part, dispatcher, wheel
@@ -83,7 +85,7 @@
         self.closed = False
         self.go = asyncio.Event()   # it may listen
         self.supervisor = Link(joined.sock, self._told, stop)
-        dispatcher.crew = self
+        dispatcher.join("crew", self)
         self.supervisor.send(words.HERE, {"pid": os.getpid()})
         self._tell()
 
@@ -115,7 +117,7 @@
             if operator is not None:
                 logs.configure(operator.log, member=self.part.number)
             self.dispatcher.reload(config)
-            self.dispatcher.limit(operator.limits if operator is not None else None)
+            limit(self.dispatcher, operator)
         else:
             if descriptor is not None:
                 os.close(descriptor)
--- a/badgerroad/discovery/routing_table.py
+++ b/badgerroad/discovery/routing_table.py
@@ -146,6 +146,7 @@
         self._looking = False     # the next call is a second look, after a watch that fell silent: it does not wait
         self._moved: Optional[int] = None   # when; until the new address has told its whole list
         self._moves = 0
+        self._pausing: Optional[asyncio.Event] = None
         self._connection: Optional[CallConnection] = None
 
     def known(self, data: Any) -> None:
@@ -182,8 +183,11 @@
         if address == self.address:
             return
         self.address, self._moved, self._moves = address, self.wheel.clock.now(), self._moves + 1
+        self.seq = None
         if self._connection:
             self._connection.close()   # the call that waits there breaks off, and `_watch` goes on here
+        if self._pausing:
+            self._pausing.set()
         if self._wanted:
             self.subscribe(True)
 
@@ -270,9 +274,11 @@
         return True
 
     async def _pause(self, time: int) -> None:
-        pause: "asyncio.Future[None]" = asyncio.get_event_loop().create_future()
-        self.wheel.after(time, lambda: pause.set_result(None))
-        await pause
+        """Ended by a move: what the new address has to tell counts as told soon."""
+        self._pausing = asyncio.Event()
+        timer = self.wheel.after(time, self._pausing.set)
+        await self._pausing.wait()
+        timer.cancel()
 
     async def _fetch(self) -> None:
         connection = CallConnection(self.descriptors, LIST_LIMIT)
--- a/badgerroad/dispatcher.py
+++ b/badgerroad/dispatcher.py
@@ -6,56 +6,32 @@
 
 from __future__ import annotations
 
-import re
 from collections import deque
-from hashlib import blake2b
-from typing import TYPE_CHECKING, Any, Callable, Deque, Dict, List, Optional, Set
+from typing import TYPE_CHECKING, Any, Callable, Deque, Dict, List, Optional, Tuple
 
 from badgerroad.acquirer.http import AcquirerSide, Exchange
 from badgerroad.classes import Classes
+from badgerroad.companion import Companion
 from badgerroad.config import Config
 from badgerroad.discovery.routing_table import Reader, RoutingTable
 from badgerroad.issuer.http import ACCEPT_TIME, Issuers, Leg, Load, Order
 from badgerroad.net import http1, logs
 from badgerroad.net.connection import Address, Descriptors
-from badgerroad.net.wheel import Timer, Wheel
+from badgerroad.net.wheel import Wheel
+from badgerroad.requests import BadRequest, OpenRequest, headers_of, id_of, read
 from heathcrank import interface as i
 from heathcrank.brain import Dispatcher as Decisions
 from heathcrank.state import avoided
 
 if TYPE_CHECKING:
-    from badgerroad.crew.member import Member
-    from badgerroad.limits.budget import RetryBudget
-    from badgerroad.operator.schema import Limits
     from badgerroad.ops.counts import Counts
-    from badgerroad.succession import Succession
 
 log = logs.get("badgerroad")
 
-# Of the client's headers, those that speak of its own connection or wait are not passed on.
-OWN_HEADERS = frozenset((
-    b"host", b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
-    b"upgrade", b"expect", b"content-length", b"request-timeout-ms", b"client-retry"))
-LONGEST_WAIT = 3_600_000   # in ms; more is no wait. What a client claims beyond its class's deadline is not granted
-# It becomes part of a path when a leg is cancelled. A comma would be two headers of that name.
-REQUEST_ID = re.compile(rb"[A-Za-z0-9._~:@!$&'()*+;=-]{1,128}\Z")
-
-
-class BadRequest(Exception):
-    """A header that the request needs is missing or malformed."""
-
-
-class OpenRequest:
-    """Taken and not answered yet, or answered with legs still out."""
-
-    __slots__ = ("number", "order", "exchange", "cls", "begun", "legs", "out", "backstop", "hint", "slots")
-
-    def __init__(self, number: int, order: Order, exchange: Exchange, cls: i.RequestClass, begun: int) -> None:
-        self.number, self.order, self.exchange, self.cls, self.begun = number, order, exchange, cls, begun
-        self.legs: List[Leg] = []
-        self.out = self.hint = 0
-        self.slots = 1.0
-        self.backstop: Optional[Timer] = None
+# SIGKILL follows SIGTERM no sooner than the longest deadline, counted as 3 s where it is longer, and 0.7 s. What comes
+# after SIGTERM and is not answered by then is lost. The margin is for the way to the client; LEAST, for the module to
+# decline what comes in the last moment.
+LONGEST_DRAIN, KILL, MARGIN, LEAST = 3_000_000, 700_000, 150_000, 50_000
 
 
 class Dispatcher:
@@ -63,11 +39,8 @@
         """`counts`: kept up where there is a second address; `kept`: descriptors for what others hold."""
         self.config, self.settings, self.wheel, self.clock = config, config.settings, wheel, wheel.clock
         self.counts = counts
-        self.succession: Optional[Succession] = None   # where a second process may come beside this one
-        self.crew: Optional[Member] = None             # where this process is one of several on the address
-        self.budget: Optional[RetryBudget] = None      # where the operator sets one
-        self._limits: Optional[Limits] = None
-        self.elsewhere: Set[bytes] = set()             # the ids of requests that are open in another one
+        self._companions: Dict[str, Companion] = {}
+        self._beside: Tuple[Companion, ...] = ()   # the same
         self.decisions = Decisions(config.settings, config.seed)
         self.descriptors = Descriptors(config.sockets, kept)
         self.issuers = Issuers(wheel, self.descriptors, config.settings, self._leg_over, self.feed,
@@ -80,6 +53,7 @@
         self.requests: Dict[int, OpenRequest] = {}
         self.by_id: Dict[bytes, OpenRequest] = {}
         self._count = 0
+        self._last: Optional[int] = None   # when whatever comes must be answered, once the end has been told
         self._line: Deque[i.Event] = deque()
         self._handling = False
         self._perform: Dict[type, Callable[[Any], None]] = {
@@ -89,8 +63,20 @@
             i.CloseIdle: lambda a: self.issuers.close_idle(str(a.worker)),
             i.Log: lambda a: log.info("module", text=a.text)}
 
-    def start(self) -> Address:
-        address = self.acquirers.listen(self.config.listen, shared=self.config.ops is not None or self.crew is not None)
+    def join(self, name: str, companion: Optional[Companion]) -> None:
+        """From now on it stands beside this dispatcher, in place of an earlier one of that name; None: nobody does."""
+        self._companions.pop(name, None)
+        if companion is not None:
+            self._companions[name] = companion
+            companion.settings_changed(self.settings)
+        self._beside = tuple(self._companions.values())
+
+    def companion(self, name: str) -> Optional[Companion]:
+        return self._companions.get(name)
+
+    def start(self, shared: bool = False) -> Address:
+        """`shared`: other processes may listen at the same address."""
+        address = self.acquirers.listen(self.config.listen, shared=shared or self.config.ops is not None)
         self.begin(self.config.known)
         return address
 
@@ -113,29 +99,6 @@
         self.table.pushed(not self.settings.subscribe)
         self.table.move(config.discovery)
 
-    def limit(self, limits: "Optional[Limits]") -> None:
-        """The operator's limits hold from now on."""
-        if limits == self._limits:
-            return
-        self._limits, self.budget = limits, None
-        if limits is not None and limits.retries == "budget":
-            from badgerroad.limits.budget import RetryBudget
-            self.budget = RetryBudget(limits.retry_share, limits.retry_least, int(limits.retry_window_s * 1e6))
-
-    def _beyond_budget(self, request: OpenRequest, leg: Leg) -> bool:
-        """Counts the leg, or says that it is one resend too many."""
-        if self.budget is None:
-            return False
-        now, cls = self.clock.now(), request.cls.name
-        if not leg.number:
-            self.budget.first(cls, now)
-        elif not self.budget.again(cls, now, request.out > 1):
-            if self.budget.tell(cls, now):
-                first, again = self.budget.used(cls, now)
-                log.warning("retry budget spent", cls=cls, first=first, again=again)
-            return True
-        return False
-
     def count_as(self, zones: List[str], kinds: List[str]) -> None:
         """Zones and kinds have the numbers that another process of this dispatcher gave them."""
         reader = self.table.reader
@@ -153,6 +116,8 @@
         if self.counts:
             self.counts.know(c.name for c in fresh.classes)
         self.feed(i.SettingsChanged(self.settings))
+        for companion in self._beside:
+            companion.settings_changed(self.settings)
 
     @property
     def ready(self) -> bool:
@@ -177,8 +142,9 @@
             self._handling = False
 
     def _handle(self, event: i.Event) -> None:
-        if self.succession and type(event) is i.Started:
-            self.succession.started(event.request, event.attempt)
+        if self._beside and type(event) is i.Started:
+            for companion in self._beside:
+                companion.started(event.request, event.attempt)
         try:
             actions = self.decisions.handle(self.clock.now(), event)
         except Exception:
@@ -213,12 +179,12 @@
         request.legs.append(leg)
         request.out += 1
         if (request.exchange.answered or leg.number >= self.settings.max_attempts
-                or self._beyond_budget(request, leg)):
+                or not all(companion.may_send(request, leg) for companion in self._beside)):
             leg.over = True
             self._leg_over(leg, i.MOOT, None, b"")
         else:
-            if self.succession:
-                self.succession.sent(leg)
+            for companion in self._beside:
+                companion.sent(request, leg)
             # Where nothing may be sent again, there is nothing to be won by giving a silent host up.
             self.issuers.start(leg, a.timeout, 0 if request.cls.semantics == i.UNSAFE else ACCEPT_TIME)
 
@@ -263,16 +229,17 @@
                 request.backstop.cancel()
             if not request.out:
                 self.requests.pop(request.number, None)
-                if self.by_id.pop(request.order.id, None) and self.succession:
-                    self.succession.ended(request.order.id)
+                if self.by_id.pop(request.order.id, None):
+                    for companion in self._beside:
+                        companion.forgotten(request.order.id)
 
     # The issuer side and the routing table report.
 
     def _leg_over(self, leg: Leg, result: str, load: Load, body: bytes) -> None:
         request = self.requests[leg.request]
         request.out -= 1
-        if self.succession:
-            self.succession.over(leg)
+        for companion in self._beside:
+            companion.over(request, leg, result)
         if result == i.OK:
             self._finish(request, 200, body)
         elif result == i.REJECTED and not request.out:
@@ -311,24 +278,32 @@
         return self.counts.figures(len(self.table.listed), avoided(self.decisions, self.clock.now()))
 
     def called_back(self, request_id: bytes, host: str, state: str, item: Dict[str, Any]) -> None:
-        beyond = self.succession or self.crew
-        if not self.issuers.called_back(request_id, host, state, item) and beyond:
-            beyond.called_back(request_id, host, state, item)
+        if not self.issuers.called_back(request_id, host, state, item):
+            for companion in self._beside:
+                companion.called_back(request_id, host, state, item)
 
     def take(self, message: http1.Message, exchange: Exchange) -> None:
         try:
-            event, request_id = self._read(message, self._count + 1)
+            request_id = id_of(message)
+            if request_id in self.by_id or any(companion.holds(request_id) for companion in self._beside):
+                raise BadRequest("request-id is that of an open request")
+            event = read(message, self._count + 1, self.settings, self.classes.by_name, self.tenants)
         except BadRequest as e:
             exchange.answer(400, f"{e}\n".encode())
             return
         exchange.number = self.next_number()
         now = self.clock.now()
-        headers = [(n.title(), v) for n, v in message.headers if n not in OWN_HEADERS]
-        order = Order(message.method, message.target, message.body, request_id, headers, now + event.time_left)
+        if self._last is not None:
+            # The module sees what cannot be done by then, and declines it at once; its client may try elsewhere.
+            event = event._replace(time_left=min(event.time_left, max(self._last - now, LEAST)), repeat=False)
+        order = Order(message.method, message.target, message.body, request_id, headers_of(message),
+                      now + event.time_left)
         cls = self.settings.classes[event.class_index]
         request = OpenRequest(event.request, order, exchange, cls, now)
-        request.hint, request.slots = event.hint, event.slots
+        request.hint, request.slots, request.tenant = event.hint, event.slots, event.tenant
         self.enter(request)
+        for companion in self._beside:
+            companion.came(request, event)
         self.feed(event)
 
     def next_number(self) -> int:
@@ -353,51 +328,13 @@
             self.feed(i.ClientGone(request.number))
             self.settle(request)
 
-    def _read(self, message: http1.Message, number: int) -> "tuple[i.Request, bytes]":
-        def number_of(name: bytes, least: int, most: int, default: Optional[int]) -> int:
-            text = message.get(name)
-            if text is None and default is not None:
-                return default
-            if text is None or not text.isdigit() or len(text) > 15 or not least <= int(text) <= most:
-                raise BadRequest(f"{name.decode()} is missing or malformed")
-            return int(text)
-
-        parts = message.path.split(b"/")
-        class_name, request_id = message.get(b"request-class"), message.get(b"request-id") or b""
-        if class_name is not None and class_name != parts[1]:
-            raise BadRequest("request-class is not that of the path")
-        if not REQUEST_ID.match(request_id):
-            raise BadRequest("request-id is missing or malformed")
-        if request_id in self.by_id or request_id in self.elsewhere:
-            raise BadRequest("request-id is that of an open request")
-        index = self.classes.by_name[parts[1]]
-        if self.settings.classes[index].semantics == i.KEYED and not message.get(b"idempotency-key"):
-            # Without it no host could drop a repeat, and the module repeats because hosts do.
-            raise BadRequest("idempotency-key is missing")
-        extras = {}
-        for part in (message.get(b"request-info") or b"").split(b","):
-            name, equals, value = part.strip().partition(b"=")
-            if not part.strip():
-                continue
-            try:
-                extras[name] = float(value)
-            except ValueError:
-                raise BadRequest("request-info is malformed") from None
-        slots, memory = extras.get(b"slots", 1.0), extras.get(b"memory", 0.0)
-        if not 0 < slots < 1e6 or not 0 <= memory < 1e9:
-            raise BadRequest("request-info is out of range")
-        if self.tenants and (message.get(b"tenant") or b"") not in self.tenants:
-            raise BadRequest("tenant is missing or unknown")
-        key = int.from_bytes(blake2b(parts[-1], digest_size=8).digest(), "big") if len(parts) > 2 else 0
-        return i.Request(
-            number, index, self.tenants.get(message.get(b"tenant") or b"", 0), key,
-            min(number_of(b"request-timeout-ms", 1, LONGEST_WAIT, None) * 1000, self.settings.classes[index].deadline),
-            number_of(b"work-hint", 0, 10**12, 0),
-            slots, memory, message.get(b"client-retry") == b"1"), request_id
-
     # The end.
 
     def drain(self) -> None:
+        longest = max(c.deadline for c in self.settings.classes)
+        self._last = self.clock.now() + min(longest, LONGEST_DRAIN) + KILL - MARGIN
+        if not self.settings.marks_retry:   # how long a client has waited shows no more in the time that it has left
+            self.feed(i.SettingsChanged(self.settings._replace(marks_retry=True)))
         self.acquirers.drain()
 
     @property
--- a/badgerroad/emulator/counts.py
+++ b/badgerroad/emulator/counts.py
@@ -9,6 +9,7 @@
 from badgerroad.emulator import scenario as sc
 from badgerroad.emulator import virtual
 from badgerroad.emulator.model.kernel import SEC
+from badgerroad.emulator.report import of as report_of
 
 
 class Counts(NamedTuple):
@@ -20,6 +21,9 @@
     probed: float           # probes of one node a second, of the node with most
     connects: float         # connections opened, for each try
     falls: int              # cold nodes pushed over
+    cold_peak: float        # of what a cold node bears in a window, the most that any was sent
+    cold_load: float        # work that nodes did while cold, as a part of what they could have done
+    warm_load: float        # while warm
     broken: int             # rules
 
 
@@ -27,8 +31,16 @@
     """Plays the scenario in virtual time."""
     seen: List[Tuple[int, str, Dict[str, Any]]] = []
     kept = ("discovery", "discovery failed", "listed", "probe", "connect", "dispatcher")
-    report = virtual.run(scenario, seed, folder, trace=lambda now, what, more: (
-        seen.append((now, what, more)) if what in kept else None))
+    loads: List[float] = []
+
+    def loads_of(world: virtual.VirtualWorld) -> None:
+        for warm in (False, True):
+            could = sum(node.could_do[warm] for node in world.nodes)
+            loads.append(sum(node.work_done[warm] for node in world.nodes) / could if could else 0.0)
+
+    world = virtual.played(scenario, seed, folder, trace=lambda now, what, more: (
+        seen.append((now, what, more)) if what in kept else None), arrived=loads_of)
+    report = report_of(world, 0.0)
     end = int(scenario.length_s * SEC)
     killed: Dict[int, int] = {}
     last: Dict[int, str] = {}
@@ -50,4 +62,5 @@
     return Counts(count["discovery"], count["discovery failed"],
                   sum(last.get(n) != "listed" for n in range(scenario.dispatchers)), max(waits) / SEC,
                   count["probe"] / tries, max(per_node.values(), default=0), count["connect"] / tries,
-                  report.falls, len(report.breaches))
+                  report.falls, max(node.cold_peak for node in world.nodes),
+                  loads[0], loads[1], len(report.breaches))
--- a/badgerroad/emulator/virtual.py
+++ b/badgerroad/emulator/virtual.py
@@ -32,7 +32,7 @@
 
 # As the program has them: issuer/http.py and discovery/routing_table.py.
 ACCEPT_TIME, PROBE_TIME = 300_000, SEC
-WATCH_WAIT, CALL_TIME = 5 * SEC, 1_500_000
+LEAST_WAIT, WATCH_WAIT, SILENCE, CALL_TIME = 1_500_000, 3_500_000, 400_000, 1_500_000
 SPREAD, FEW = 100_000, 4    # of first calls, for each dispatcher, where there are more than a few
 DRAIN_LEAST = 800_000
 KEPT_IDLE = 64              # connections kept to one node
@@ -91,7 +91,8 @@
         self.budget = None if limits.retries == "free" else RetryBudget(
             limits.retry_share, limits.retry_least, int(limits.retry_window_s * SEC))
         many = self.settings.dispatchers > FEW
-        self._spread = int(Random(seed).random() * SPREAD * self.settings.dispatchers) if many else 0
+        self._random = Random(seed)
+        self._spread = int(self._random.random() * SPREAD * self.settings.dispatchers) if many else 0
         self.requests: Dict[int, Open] = {}
         self.by_id: Dict[str, Open] = {}
         self.busy: Dict[Tuple[str, str], Leg] = {}
@@ -321,9 +322,10 @@
     def _infos(self, entries: Tuple[Any, ...]) -> Tuple[i.WorkerInfo, ...]:
         return tuple(i.WorkerInfo(e.node, e.state, e.since, e.kind, e.hall, e.rack, e.weight) for e in entries)
 
-    def _call(self) -> None:
-        """What has changed since the list held; the first answer comes at once, as readiness waits for it."""
-        wait = WATCH_WAIT if self.ready else 0
+    def _call(self, second_look: bool = False) -> None:
+        """What has changed since the list held; the first answer comes at once, as readiness waits for it.
+        `second_look`: the watch has fallen silent."""
+        wait = self._random.randint(LEAST_WAIT, WATCH_WAIT) if self.ready and not second_look else 0
         done = [False]
         self.world.note("discovery", dispatcher=self.number, wait=wait)
 
@@ -353,9 +355,12 @@
         def late() -> None:
             if not done[0]:
                 done[0] = True
-                self._discovery_failed()
+                if wait:
+                    self._call(second_look=True)
+                else:
+                    self._discovery_failed()
 
-        self.later(wait + CALL_TIME, late)
+        self.later(wait + SILENCE if wait else CALL_TIME, late)
         life = self.life
 
         def arrives() -> None:
@@ -545,9 +550,17 @@
         trace: Optional[Trace] = None) -> report.Report:
     """One virtual run from start to end."""
     began = perf_counter()
+    return report.of(played(scenario, seed, folder, make, trace), perf_counter() - began)
+
+
+def played(scenario: sc.Scenario, seed: int, folder: Path, make: Make = Dispatcher, trace: Optional[Trace] = None,
+           arrived: Callable[[VirtualWorld], None] = lambda world: None) -> VirtualWorld:
+    """A world after its run. `arrived` looks at it when the last job has arrived."""
     world = VirtualWorld(scenario, seed, folder, make, trace)
     for number in range(len(world.home)):
         world.tier.start(number)
     world.begin()
+    world.kernel.run(world.length)
+    arrived(world)
     world.kernel.run(world.end)
-    return report.of(world, perf_counter() - began)
+    return world
--- /dev/null
+++ b/badgerroad/limiting.py
@@ -0,0 +1,26 @@
+"""What the operator's file limits, set beside a dispatcher. Nothing of it is imported where nothing is limited."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Optional
+
+from badgerroad.dispatcher import Dispatcher
+
+if TYPE_CHECKING:
+    from badgerroad.operator.schema import Operator
+
+RETRIES = "retry budget"
+
+
+def limit(dispatcher: Dispatcher, operator: "Optional[Operator]") -> None:
+    """The limits of the operator's file hold from now on; None: there is no such file. What is unchanged keeps what it
+    has counted."""
+    limits = operator.limits if operator is not None else None
+    if limits is None or limits.retries != "budget":
+        if dispatcher.companion(RETRIES) is not None:
+            dispatcher.join(RETRIES, None)
+        return
+    from badgerroad.limits.companion import Retries
+    held = dispatcher.companion(RETRIES)
+    if not isinstance(held, Retries) or held.limits != limits:
+        dispatcher.join(RETRIES, Retries(dispatcher.clock, limits))
--- a/badgerroad/moving.py
+++ b/badgerroad/moving.py
@@ -10,8 +10,9 @@
 from typing import Any, Dict, Tuple
 
 from badgerroad.acquirer.http import ClientConnection, Exchange
-from badgerroad.dispatcher import Dispatcher, OpenRequest
+from badgerroad.dispatcher import Dispatcher
 from badgerroad.issuer.http import Leg, Order
+from badgerroad.requests import OpenRequest
 from heathcrank import state
 
 _FLAGS = ("heard", "started", "over", "opened", "status")
--- /dev/null
+++ b/badgerroad/requests.py
@@ -0,0 +1,105 @@
+"""A client's request: read from its message and checked, and what is kept of it while it is open."""
+
+from __future__ import annotations
+
+import re
+from hashlib import blake2b
+from typing import Dict, List, Mapping, Optional, Tuple
+
+from badgerroad.acquirer.http import Exchange
+from badgerroad.issuer.http import Leg, Order
+from badgerroad.net import http1
+from badgerroad.net.wheel import Timer
+from heathcrank import interface as i
+
+# Of the client's headers, those that speak of its own connection or wait are not passed on.
+OWN_HEADERS = frozenset((
+    b"host", b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
+    b"upgrade", b"expect", b"content-length", b"request-timeout-ms", b"client-retry"))
+LONGEST_WAIT = 3_600_000   # in ms; more is no wait. What a client claims beyond its class's deadline is not granted
+# It becomes part of a path when a leg is cancelled. A comma would be two headers of that name.
+REQUEST_ID = re.compile(rb"[A-Za-z0-9._~:@!$&'()*+;=-]{1,128}\Z")
+
+
+class BadRequest(Exception):
+    """A header that the request needs is missing or malformed."""
+
+
+class OpenRequest:
+    """Taken and not answered yet, or answered with legs still out."""
+
+    __slots__ = ("number", "order", "exchange", "cls", "begun", "legs", "out", "backstop", "hint", "slots", "tenant")
+
+    def __init__(self, number: int, order: Order, exchange: Exchange, cls: i.RequestClass, begun: int) -> None:
+        self.number, self.order, self.exchange, self.cls, self.begun = number, order, exchange, cls, begun
+        self.legs: List[Leg] = []
+        self.out = self.hint = self.tenant = 0
+        self.slots = 1.0
+        self.backstop: Optional[Timer] = None
+
+
+def headers_of(message: http1.Message) -> http1.Headers:
+    """Those that hosts are given."""
+    return [(n.title(), v) for n, v in message.headers if n not in OWN_HEADERS]
+
+
+def id_of(message: http1.Message) -> bytes:
+    """The request's id. Raises BadRequest."""
+    request_id = message.get(b"request-id") or b""
+    if not REQUEST_ID.match(request_id):
+        raise BadRequest("request-id is missing or malformed")
+    return request_id
+
+
+def read(message: http1.Message, number: int, settings: i.Settings, classes: Mapping[bytes, int],
+         tenants: Mapping[bytes, int]) -> i.Request:
+    """What the module hears of it as request `number`. `classes` and `tenants`: their places in the settings. Raises
+    BadRequest."""
+    parts = message.path.split(b"/")
+    class_name = message.get(b"request-class")
+    if class_name is not None and class_name != parts[1]:
+        raise BadRequest("request-class is not that of the path")
+    index = classes[parts[1]]
+    cls = settings.classes[index]
+    if cls.semantics == i.KEYED and not message.get(b"idempotency-key"):
+        # Without it no host could drop a repeat, and the module repeats because hosts do.
+        raise BadRequest("idempotency-key is missing")
+    slots, memory = _size(message)
+    if tenants and (message.get(b"tenant") or b"") not in tenants:
+        raise BadRequest("tenant is missing or unknown")
+    key = int.from_bytes(blake2b(parts[-1], digest_size=8).digest(), "big") if len(parts) > 2 else 0
+    wait = min(_number(message, b"request-timeout-ms", 1, LONGEST_WAIT, None) * 1000, cls.deadline)
+    return i.Request(number, index, tenants.get(message.get(b"tenant") or b"", 0), key, wait,
+                     _number(message, b"work-hint", 0, 10**12, 0), slots, memory,
+                     message.get(b"client-retry") == b"1")
+
+
+def info_of(message: http1.Message) -> Dict[bytes, float]:
+    """The figures of `Request-Info`. Raises BadRequest."""
+    extras = {}
+    for part in (message.get(b"request-info") or b"").split(b","):
+        name, _, value = part.strip().partition(b"=")
+        if not part.strip():
+            continue
+        try:
+            extras[name] = float(value)
+        except ValueError:
+            raise BadRequest("request-info is malformed") from None
+    return extras
+
+
+def _size(message: http1.Message) -> Tuple[float, float]:
+    extras = info_of(message)
+    slots, memory = extras.get(b"slots", 1.0), extras.get(b"memory", 0.0)
+    if not 0 < slots < 1e6 or not 0 <= memory < 1e9:
+        raise BadRequest("request-info is out of range")
+    return slots, memory
+
+
+def _number(message: http1.Message, name: bytes, least: int, most: int, default: Optional[int]) -> int:
+    text = message.get(name)
+    if text is None and default is not None:
+        return default
+    if text is None or not text.isdigit() or len(text) > 15 or not least <= int(text) <= most:
+        raise BadRequest(f"{name.decode()} is missing or malformed")
+    return int(text)
--- a/badgerroad/serving.py
+++ b/badgerroad/serving.py
@@ -14,6 +14,7 @@
 from badgerroad import __version__, early
 from badgerroad.config import BadConfig, Config, load, parse, read, reload, text_of
 from badgerroad.dispatcher import Dispatcher
+from badgerroad.limiting import limit
 from badgerroad.net import logs
 from badgerroad.net.wheel import Clock, Wheel
 
@@ -47,7 +48,7 @@
 async def serve(config: Config, operator: Any, operator_file: Optional[str], joined: "Optional[Joined]" = None) -> int:
     wheel = Wheel(Clock(), IOLoop.current())
     dispatcher, ops = assemble(config, wheel, counted=joined is not None)
-    dispatcher.limit(operator.limits if operator is not None else None)
+    limit(dispatcher, operator)
     succession: Optional[Succession] = None
     member: Optional[Member] = None
     done = asyncio.Event()
@@ -91,7 +92,7 @@
         else:
             dispatcher.reload(fresh)
             if operator_file is not None:
-                dispatcher.limit(operator_now.limits)
+                limit(dispatcher, operator_now)
             if dispatcher.counts:
                 dispatcher.counts.conf_loaded += 1
 
@@ -120,7 +121,7 @@
         if done.is_set():
             return OK   # told to end before it has begun
     try:
-        host, port = await succession.begin() if succession is not None else dispatcher.start()
+        host, port = await succession.begin() if succession is not None else dispatcher.start(member is not None)
     except OSError as e:
         print(f"badgerroad: listen: {config.listen[0]}:{config.listen[1]}: {e.strerror}", file=sys.stderr)
         return CANNOT_LISTEN
--- a/badgerroad/succession.py
+++ b/badgerroad/succession.py
@@ -13,6 +13,7 @@
 
 from badgerroad import moving
 from badgerroad.acquirer.http import Exchange
+from badgerroad.companion import Companion
 from badgerroad.discovery.routing_table import BadList
 from badgerroad.dispatcher import Dispatcher
 from badgerroad.handover import rules, wire
@@ -21,6 +22,7 @@
 from badgerroad.net.connection import Address
 from badgerroad.net.link import Link, Place
 from badgerroad.net.wheel import Timer, Wheel
+from badgerroad.requests import OpenRequest
 from heathcrank import state
 
 log = logs.get("badgerroad")
@@ -49,7 +51,7 @@
         self.open: Set[bytes] = set()        # the ids of requests that it had when this process took over
 
 
-class Succession:
+class Succession(Companion):
     def __init__(self, dispatcher: Dispatcher, wheel: Wheel, folder: str) -> None:
         self.dispatcher, self.wheel = dispatcher, wheel
         host, port = dispatcher.config.listen
@@ -64,7 +66,8 @@
         self.heir: Optional[Other] = None   # that takes the new jobs
         self._strays: List[Tuple[int, Call]] = []   # when they came, the latest last
         self.ending = self.closed = False
-        dispatcher.succession = self
+        self.elsewhere: Set[bytes] = set()   # the ids of requests that are open in another process
+        dispatcher.join("succession", self)
 
     # The younger side.
 
@@ -133,7 +136,7 @@
         elif action == rules.FORGET:
             if other is not None:
                 other.legs.clear()
-                d.elsewhere -= other.open
+                self.elsewhere -= other.open
             if back == self._as_successor:
                 self.older = None
             else:
@@ -228,7 +231,7 @@
         # An older process that takes over again keeps what it knows: of this one's sends it was told.
         other.link.send(wire.YOURS, {
             "state": state.copy_out(d.decisions) if other is self.newer else None, "legs": legs,
-            "open": [i.decode("latin-1") for i in {*d.by_id, *d.elsewhere}]})
+            "open": [i.decode("latin-1") for i in {*d.by_id, *self.elsewhere}]})
         d.descriptors.share(d.descriptors.whole - d.descriptors.used - SPARE)
         d.issuers.heir = self._give_host
         d.issuers.pass_on()
@@ -254,7 +257,7 @@
         if request is not None:
             for leg in request.legs:
                 if not leg.over:
-                    self.over(leg)
+                    self._tell_over(leg)
             moving.gone(d, request)
         return True
 
@@ -305,13 +308,13 @@
             if started:
                 other.legs.started(leg)
         other.open = {i.encode("latin-1") for i in head["open"]} - d.by_id.keys()
-        d.elsewhere |= other.open
+        self.elsewhere |= other.open
 
     def _take_client(self, sock: socket.socket, head: Dict[str, Any], payload: bytes) -> None:
         d, job, body = self.dispatcher, head["job"], payload[:head["body"]]
         d.descriptors.share(max(d.descriptors.whole - d.descriptors.limit - 1, 0))
         if job is not None:
-            d.elsewhere.discard(job["id"].encode("latin-1"))
+            self.elsewhere.discard(job["id"].encode("latin-1"))
         d.acquirers.adopt(sock, head, payload[head["body"]:],
                           None if job is None else lambda c: moving.taken_in(d, job, body, c))
         if job is not None:
@@ -353,7 +356,7 @@
             if self.heir is None:
                 d.descriptors.share(int(head["held"]) + BASE)
         elif kind == wire.ENDED:
-            d.elsewhere.discard(head["id"].encode("latin-1"))
+            self.elsewhere.discard(head["id"].encode("latin-1"))
             if self.heir is not None and self.heir is not by:
                 self.heir.link.send(wire.ENDED, {"id": head["id"]})
         elif sock is not None:
@@ -385,7 +388,10 @@
 
     # The dispatcher tells what the others must know.
 
-    def sent(self, leg: Leg) -> None:
+    def holds(self, request_id: bytes) -> bool:
+        return request_id in self.elsewhere
+
+    def sent(self, request: OpenRequest, leg: Leg) -> None:
         others = self._others()
         if others:
             slots, long, work = state.cost_of(self.dispatcher.decisions, leg.request)
@@ -397,21 +403,24 @@
         for other in self._others():
             other.link.send(wire.STARTED, {"leg": self._leg(request, number)})
 
-    def over(self, leg: Leg) -> None:
+    def over(self, request: OpenRequest, leg: Leg, result: str) -> None:
+        self._tell_over(leg)
+
+    def _tell_over(self, leg: Leg) -> None:
         for other in self._others():
             other.link.send(wire.OVER, {"leg": self._leg(leg.request, leg.number)})
 
-    def ended(self, request_id: bytes) -> None:
+    def forgotten(self, request_id: bytes) -> None:
         if self.heir is not None:
             self.heir.link.send(wire.ENDED, {"id": request_id.decode("latin-1")})
 
-    def called_back(self, request_id: bytes, host: str, word: str, item: Dict[str, Any]) -> None:
+    def called_back(self, request_id: bytes, host: str, state: str, item: Dict[str, Any]) -> None:
         """A call-back for a leg that is not known here: another process has it, or it is on its way here."""
         others = self._others()
         if others:
-            self._keep_stray((request_id, host, word, item))
+            self._keep_stray((request_id, host, state, item))
         for other in others:
-            other.link.send(wire.CALL_BACK, {"id": request_id.decode("latin-1"), "host": host, "state": word,
+            other.link.send(wire.CALL_BACK, {"id": request_id.decode("latin-1"), "host": host, "state": state,
                                              "item": item})
 
     def _keep_stray(self, call: Call) -> None:
--- a/heathcrank/brain.py
+++ b/heathcrank/brain.py
@@ -18,7 +18,9 @@
 
 LONG_SHARE = 0.03    # the largest 3 percent of the hints seen are long, as in the paper
 SAMPLE = 512         # hints kept for the cutoff
-COLD_MARGIN = 0.6    # part of a cold worker's budget that is spent: hints and shares are rough
+COLD_MARGIN = 0.6    # part of a cold worker's budget that is spent: hints and shares are rough;
+CHANCE = 1.5         # and of the three roots of its number of jobs that it may exceed it by before it falls
+LARGE = 3            # mean jobs that the one job of a small part may be: else only small ones went to cold workers
 FIRST_RETRY = 500_000
 RECHECK = 50_000     # held jobs are looked at this often at least
 SHUN = 100_000       # how long a worker is left alone after a bad ending; doubled each time, up to FORGET
@@ -137,8 +139,7 @@
         return workers if size >= len(workers) else (workers + workers)[start:start + size]
 
     def _leaves(self) -> bool:
-        """Does a first attempt go away? Only a part, as crossing has its price, which grows with how much more seldom
-        jobs start at once at home than away."""
+        """Does a first attempt go away? A part does, as crossing has its price: more as jobs start rarer at home."""
         return self.random.random() < min(2 * (self.busy[False] - self.busy[True]) - LEAD, MOST_AWAY)
 
     def _is_away(self, w: Worker) -> bool:
@@ -162,13 +163,13 @@
         while sent and sent[0][0] <= self.now - s.overload_for:
             sent.popleft()
         capacity = max(w.kind.slots, w.kind.most) * w.kind.speed() * self._cold_share(w)
-        budget = COLD_MARGIN * s.fall_multiple * capacity * s.overload_for
-        unit = self.mean + 1.0
+        unit, allowed = self.mean + 1.0, s.fall_multiple * capacity * s.overload_for
+        budget: float = COLD_MARGIN * allowed + (0 if self.few else CHANCE) * (allowed * unit) ** 0.5
         # Split evenly, a part would often be below one job and nobody could send any: then the first few in
         # the worker's own order of dispatchers have one job each. No part shrinks as the budget grows.
-        even = budget >= unit * s.dispatchers
-        part = budget / s.dispatchers if even else unit * ((self._turn(w) + 1) * unit <= budget)
-        return part - sum(work for _, work in sent)
+        if budget >= unit * s.dispatchers:
+            return budget / s.dispatchers - sum(work for _, work in sent)
+        return LARGE * unit * ((self._turn(w) + 1) * unit <= budget and not sent)
 
     def _speed(self, w: Worker) -> float:
         """Its own pace of late and, the less that says, its kind's; less while it is cold."""
@@ -220,8 +221,7 @@
             self._finish(job)
 
     def _advice(self) -> int:
-        """When a refused client should come back: once this dispatcher's part of the workers that may be sent to
-        is through with the work it has here, as fast as they have been of late; not before the next look."""
+        """When a refused client should come back: once its part of the workers is through with the work it has here."""
         s, now = self.settings, self.now
         if not s.retry_after:
             return 0
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -99,3 +99,17 @@
         config = w.dispatcher.config
         w.dispatcher.reload(config._replace(settings=config.settings._replace(subscribe=False)))
         await until(lambda: w.dispatcher.ready)
+
+
+@story
+async def test_a_move_ends_the_pause_before_the_first_call():
+    """News counts as told 4 s after it; of 200 dispatchers that start some pause for 20 s."""
+    async with World(serve, discovery=lambda head, _body: listed(w, 2), siblings=200, index=3) as w:
+        await asyncio.sleep(0.05)
+        assert not w.discovery.got
+        began = w.dispatcher.clock.now()
+        w.dispatcher.table.move(("127.0.0.1", 1))   # nobody there
+        w.dispatcher.table.move(("127.0.0.1", w.discovery.port))
+        await until(lambda: w.dispatcher.ready)
+        assert w.dispatcher.clock.now() - began < 2_000_000
+        assert b"index" not in w.discovery.got[0][0]   # the whole list
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -514,6 +514,28 @@
         await until(lambda: not w.dispatcher.owed)
 
 
+@pytest.mark.parametrize("hint", [10_000_000, 0])
+@story
+async def test_what_comes_after_sigterm_is_answered_before_sigkill_at_once_if_it_cannot_be_done(hint, monkeypatch):
+    """On a connection that stays open clients go on sending, up to SIGKILL; their own patience is longer than that."""
+    monkeypatch.setattr(dispatcher, "LONGEST_DRAIN", 0)
+    async with World(silent, silent) as w:
+        await until(lambda: w.dispatcher.ready)
+        fresh, late = await w.connect(), await w.connect()
+        await until(lambda: len(w.dispatcher.acquirers.connections) == 2)
+        before = w.begin(w.ask(job("r0", "preview", 5000)))
+        await until(lambda: w.hosts[0].got + w.hosts[1].got)
+        began = w.dispatcher.clock.now()
+        w.dispatcher.drain()
+        status, head, _ = await w.ask(job("r1", "preview", 5000, b"x", f"Work-Hint: {hint}"), fresh)
+        took = w.dispatcher.clock.now() - began
+        assert status == 503 and b"Retry-After" in head and b"Connection: close" in head
+        assert len(w.hosts[0].got + w.hosts[1].got) == (1 if hint else 2) and (not hint or took < 300_000)
+        assert took < dispatcher.KILL and not before.done()
+        await asyncio.sleep(max(dispatcher.KILL - dispatcher.MARGIN - took, 0) / 1e6)
+        assert (await w.ask(job("r2"), late))[0] == 503   # in the last moment
+
+
 @story
 async def test_near_the_descriptor_limit_the_least_useful_connections_go_first(monkeypatch):
     monkeypatch.setattr(acquirer, "FRESH", 0)
