--- a/badgerroad/acquirer/http.py
+++ b/badgerroad/acquirer/http.py
@@ -13,7 +13,7 @@
 from tornado.ioloop import IOLoop
 
 from badgerroad.net import http1, logs
-from badgerroad.net.connection import Address, Connection, Descriptors, spawn
+from badgerroad.net.connection import Address, Connection, Descriptors, NoDescriptor, spawn
 from badgerroad.net.wheel import Timer, Wheel
 
 log = logs.get("badgerroad")
@@ -352,7 +352,7 @@
                 return
             except OSError as e:
                 # Without a pause the loop would spin on the same connection; it waits in the backlog.
-                log.warning("accept", why=str(e))
+                log.warning("accept", code=NoDescriptor.code, why=str(e), do=NoDescriptor.remedy)
                 self._rest()
                 self.wheel.after(ACCEPT_PAUSE, self._accept_again)
                 return
--- a/badgerroad/cli.py
+++ b/badgerroad/cli.py
@@ -60,6 +60,7 @@
 from typing import Any, List, Optional
 
 from badgerroad import __version__
+from badgerroad.errors import BadArgument, Error
 
 BAD_ARGUMENT = 2
 MOST_WORKERS = 16   # each tells all others of call-backs that it does not know: with more, that is most of the work
@@ -80,8 +81,7 @@
         from badgerroad.serving import main as serve
         workers = o["--workers"]
         if not workers.isdigit() or not 1 <= int(workers) <= MOST_WORKERS:
-            print(f"badgerroad: --workers: not a whole number from 1 to {MOST_WORKERS}: {workers!r}", file=sys.stderr)
-            return BAD_ARGUMENT
+            return _say(BadArgument(f"--workers: not a whole number from 1 to {MOST_WORKERS}: {workers!r}"))
         return serve(bool(o["check-config"]), o["--operator"], bool(o["--verbose"]), int(workers))
     return _tools(o)
 
@@ -99,9 +99,22 @@
         from badgerroad.lab import commands
         return commands.main(o)
     except ModuleNotFoundError as e:
-        print(f"badgerroad: {e.name} is not installed; pip install 'badgerroad[lab]' brings it", file=sys.stderr)
+        return _say(NotInstalled(f"{e.name} is not installed"))
+    except Error as e:
+        return _say(e)
     except ValueError as e:
-        print(f"badgerroad: {' '.join(str(e).split())}", file=sys.stderr)
+        return _say(BadArgument(str(e)))
+
+
+class NotInstalled(Error):
+    """A library of the emulator and the laboratory is missing."""
+
+    code = "installed"
+    remedy = "pip install 'badgerroad[lab]' brings it"
+
+
+def _say(error: Error) -> int:
+    print(f"badgerroad: {error.line}", file=sys.stderr)
     return BAD_ARGUMENT
 
 
@@ -109,5 +122,5 @@
     if text is None:
         return None
     if not text.isdigit():
-        raise ValueError(f"--seed: not a whole number: {text!r}")
+        raise BadArgument(f"--seed: not a whole number: {text!r}")
     return int(text)
--- a/badgerroad/config.py
+++ b/badgerroad/config.py
@@ -8,14 +8,18 @@
 from typing import Any, Dict, FrozenSet, List, Mapping, NamedTuple, Optional
 
 from badgerroad.discovery.routing_table import BadList, Reader, address_of
+from badgerroad.errors import Error
 from badgerroad.net.connection import Address
 from heathcrank import interface as i
 from heathcrank.settings import BadInput, settings_from
 
 
-class BadConfig(Exception):
+class BadConfig(Error):
     """One line that names the field."""
 
+    code = "config"
+    remedy = "mend the field and try badgerroad check-config"
+
 
 class Config(NamedTuple):
     name: str
--- a/badgerroad/crew/member.py
+++ b/badgerroad/crew/member.py
@@ -111,7 +111,7 @@
             try:
                 config = config_of(head, self.part, os.environ, self.dispatcher.config)
             except BadConfig as e:   # the supervisor has read it before; what is left is this member's part
-                log.error("reload failed; the old configuration stays in force", why=" ".join(str(e).split()))
+                log.error("reload failed; the old configuration stays in force", **e.fields)
                 return
             operator = words.heard(head["operator"])
             if operator is not None:
--- a/badgerroad/crew/supervisor.py
+++ b/badgerroad/crew/supervisor.py
@@ -20,6 +20,7 @@
 from badgerroad.crew import rules, words
 from badgerroad.crew.figures import Sums
 from badgerroad.crew.member import Part
+from badgerroad.errors import CannotListen
 from badgerroad.net import logs
 from badgerroad.net.connection import spawn
 from badgerroad.net.link import Link
@@ -30,8 +31,6 @@
 
 log = logs.get("badgerroad")
 
-CANNOT_LISTEN = 1
-
 
 class Seat:
     """One member's place: the process that has it now, and this side's end of its link."""
@@ -171,7 +170,7 @@
                 from badgerroad.operator.schema import load as load_operator
                 operator = load_operator(self.operator_file)
         except BadConfig as e:
-            log.error("reload failed; the old configuration stays in force", why=" ".join(str(e).split()))
+            log.error("reload failed; the old configuration stays in force", **e.fields)
             self.invalid += 1
             return
         self.config, self.text, self.operator = config, text, operator
@@ -216,8 +215,7 @@
         held = supervisor.hold()
     except OSError as e:
         assert address is not None
-        print(f"badgerroad: {what}: {address[0]}:{address[1]}: {e.strerror}", file=sys.stderr)
-        return CANNOT_LISTEN
+        raise CannotListen(what, address, e) from e
     log.info("listening", name=config.name, address=supervisor.listen, workers=size)
     supervisor.begin()
     code = await supervisor.code
--- a/badgerroad/discovery/routing_table.py
+++ b/badgerroad/discovery/routing_table.py
@@ -8,6 +8,7 @@
 import random
 from typing import Any, Callable, Dict, List, Optional, Tuple
 
+from badgerroad.errors import Error
 from badgerroad.net import http1, logs
 from badgerroad.net.connection import Address, Broken, CallConnection, Descriptors, spawn
 from badgerroad.net.wheel import Wheel
@@ -42,14 +43,20 @@
 STATES = {"ready": i.READY, "draining": i.DRAINING, "gone": i.GONE}
 
 
-class BadList(Exception):
+class BadList(Error):
     """What came is not a list of hosts."""
 
+    code = "list"
+    remedy = "ask discovery for /api/targets by hand and look at the entry named"
+
 
 class Silent(Broken):
     """A watch said nothing when its wait was over: it is broken, which no end of the connection shows. Discovery itself
     may be well."""
 
+    code = "silent"
+    remedy = "nothing, if a routing table follows; else look at the network to discovery"
+
 
 def address_of(text: Any) -> Address:
     host, colon, port = str(text).rpartition(":")
@@ -225,7 +232,7 @@
                 try:
                     await self._next()
                 except (Broken, BadList) as e:
-                    log.info("discovery failed", why=str(e))
+                    log.info("discovery failed", code=e.code, why=str(e))
                     if isinstance(e, BadList):
                         self.seq = None
                     if moves == self._moves and not await self._may_insist(e):
@@ -289,7 +296,7 @@
         try:
             self._tell(*await self._call(b"/api/targets", CALL_TIME, connection))
         except (Broken, BadList) as e:
-            log.info("discovery failed", why=str(e))
+            log.info("discovery failed", code=e.code, why=str(e))
             self.news(i.WorkerList(i.FAILED), {})
         finally:
             connection.close()
--- a/badgerroad/emulator/live/wire.py
+++ b/badgerroad/emulator/live/wire.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import Callable, Dict, List, Optional, Set, Tuple
 
+from badgerroad.errors import Error
 from badgerroad.net import http1
 from badgerroad.net.ring import Ring
 
@@ -73,10 +74,13 @@
             self._server = None
 
 
-class Gone(Exception):
+class Gone(Error):
     """The call got no answer. `refused`: nobody listens; `silent_reuse`: a kept connection ended without a byte,
     as it does when its end crossed the request."""
 
+    code = "gone"
+    remedy = "none: a rehearsed fault"
+
     def __init__(self, refused: bool, silent_reuse: bool = False) -> None:
         super().__init__("refused" if refused else "broken off")
         self.refused, self.silent_reuse = refused, silent_reuse
--- a/badgerroad/emulator/rehearse.py
+++ b/badgerroad/emulator/rehearse.py
@@ -56,7 +56,7 @@
     try:
         s = scenario.load(file)
     except scenario.BadScenario as e:
-        print(f"badgerroad: {e}", file=sys.stderr)
+        print(f"badgerroad: {e.line}", file=sys.stderr)
         return 2
     console, said = Console(), [0]
 
--- a/badgerroad/emulator/scenario.py
+++ b/badgerroad/emulator/scenario.py
@@ -12,15 +12,19 @@
 import msgspec
 
 from badgerroad import tomlfile
+from badgerroad.errors import Error
 
 Range = Tuple[float, float]
 LONGEST = 86_400.0          # seconds; a run is a day at most
 MOST_NODES, MOST_DISPATCHERS = 20_000, 256
 
 
-class BadScenario(Exception):
+class BadScenario(Error):
     """One line that names file, field and reason."""
 
+    code = "scenario"
+    remedy = "mend the file; docs/operate/rehearsal.md lists the fields"
+
 
 class Base(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
     """What all parts of a scenario share: unknown fields are errors, nothing changes after the load."""
--- /dev/null
+++ b/badgerroad/errors.py
@@ -0,0 +1,43 @@
+"""The base of all errors that an operator can meet: a short code that stays, what happened, and what to do about it.
+
+The text of an error says what happened. Log lines and exit messages carry all three; docs/operate/errors.md lists the
+codes.
+"""
+
+from __future__ import annotations
+
+from typing import ClassVar, Dict, Tuple
+
+
+class Error(Exception):
+    """`code` never changes its meaning; `remedy` is what an operator can do, as an imperative."""
+
+    code: ClassVar[str] = "error"
+    remedy: ClassVar[str] = "report it with the lines before it"
+
+    @property
+    def line(self) -> str:
+        """For an exit: one line."""
+        return f"{self.code}: {' '.join(str(self).split())}; {self.remedy}"
+
+    @property
+    def fields(self) -> Dict[str, str]:
+        """For a log line."""
+        return {"code": self.code, "why": " ".join(str(self).split()), "do": self.remedy}
+
+
+class BadArgument(Error, ValueError):
+    """A command's argument cannot be."""
+
+    code = "argument"
+    remedy = "see badgerroad --help"
+
+
+class CannotListen(Error):
+    """An address of this process's own cannot be had. `field`: of the configuration."""
+
+    code = "listen"
+    remedy = "see who has the address, or whether this machine has it at all"
+
+    def __init__(self, field: str, address: Tuple[str, int], cause: OSError) -> None:
+        super().__init__(f"{field}: {address[0]}:{address[1]}: {cause.strerror}")
--- a/badgerroad/issuer/http.py
+++ b/badgerroad/issuer/http.py
@@ -120,12 +120,12 @@
             await self._run_leg(leg, host, until, accept_time)
         except NoDescriptor as e:
             log.warning("leg not sent", request=leg.order.id.decode("latin-1"), leg=leg.number, host=leg.worker,
-                        why=str(e))
+                        **e.fields)
             self._end(leg, i.MOOT)   # a failed connection would strike a healthy host
         except Broken as e:
             if not leg.over:
                 log.info("leg broken", request=leg.order.id.decode("latin-1"), leg=leg.number, host=leg.worker,
-                         why=str(e))
+                         code=e.code, why=str(e))
             self._end(leg, i.RESET if e.sent else i.CONNECT_FAILED)
         except Exception:
             self._end(leg, i.RESET)
@@ -217,7 +217,8 @@
         try:
             await self._short_call(host, b"DELETE", b"/jobs/" + request_id, DELETE_TIME)
         except Broken as e:
-            log.info("cancel failed", request=request_id.decode("latin-1"), host=host.name, why=str(e))
+            log.info("cancel failed", request=request_id.decode("latin-1"), host=host.name,
+                     code=e.code, why=str(e))
         finally:
             host.cancelling.pop(request_id).set_result(None)
 
--- a/badgerroad/lab/policies.py
+++ b/badgerroad/lab/policies.py
@@ -10,6 +10,7 @@
 from random import Random
 from typing import Any, Callable, Deque, Dict, List, Optional, Tuple
 
+from badgerroad.errors import BadArgument
 from heathcrank import interface as i
 from heathcrank.brain import Dispatcher
 
@@ -270,5 +271,5 @@
 def policy(name: str) -> Callable[[i.Settings, int], Any]:
     """The factory of that name. Raises ValueError."""
     if name not in POLICIES:
-        raise ValueError(f"--policy: unknown: {name!r}; there are {', '.join(POLICIES)}")
+        raise BadArgument(f"--policy: unknown: {name!r}; there are {', '.join(POLICIES)}")
     return POLICIES[name]
--- a/badgerroad/net/connection.py
+++ b/badgerroad/net/connection.py
@@ -11,6 +11,7 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
+from badgerroad.errors import Error
 from badgerroad.net import logs
 from badgerroad.net.http1 import BODY_LIMIT, HEADER_LIMIT, RING_LIMIT, BadMessage, Message, Parser
 from badgerroad.net.ring import Ring
@@ -209,9 +210,12 @@
     def on_closed(self) -> None: ...
 
 
-class Broken(Exception):
+class Broken(Error):
     """The connection ended before the answer. `sent` tells whether the last byte of the request was out."""
 
+    code = "broken"
+    remedy = "look at the peer and the network to it if it goes on"
+
     def __init__(self, sent: bool, why: str) -> None:
         super().__init__(why)
         self.sent = sent
@@ -220,6 +224,9 @@
 class NoDescriptor(Broken):
     """This side had none left: nothing was sent, and the other side has no part in it."""
 
+    code = "descriptors"
+    remedy = "raise limits.sockets, or start more dispatchers"
+
 
 class CallConnection(Connection):
     """A connection to an issuer host or to discovery: one call at a time."""
--- a/badgerroad/net/http1.py
+++ b/badgerroad/net/http1.py
@@ -9,6 +9,7 @@
 import re
 from typing import Iterable, List, Optional, Tuple
 
+from badgerroad.errors import Error
 from badgerroad.net.ring import Ring
 
 HEADER_LIMIT = 16 * 1024
@@ -29,9 +30,12 @@
 _CHUNK = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[\t -~\x80-\xff]*)?\Z")
 
 
-class BadMessage(Exception):
+class BadMessage(Error):
     """What came is not a message; `status` is the answer where one is owed."""
 
+    code = "message"
+    remedy = "look at what the peer sent: it does not speak HTTP/1.1, or too large messages"
+
     def __init__(self, status: int, why: str) -> None:
         super().__init__(why)
         self.status = status
--- a/badgerroad/net/packets.py
+++ b/badgerroad/net/packets.py
@@ -9,6 +9,8 @@
 import json
 from typing import Any, Dict, List, Tuple
 
+from badgerroad.errors import Error
+
 # A packet has to fit the socket's buffer whole: 208 KiB by default.
 PART = 32 * 1024          # bytes of one part of a long head
 LONGEST = 184 * 1024      # a job's body, a client's whole ring, and a head
@@ -16,9 +18,12 @@
 PART_OF = "part"          # of a head too long for one packet; the last has no more to follow
 
 
-class BadPacket(Exception):
+class BadPacket(Error):
     """The other side speaks another language."""
 
+    code = "packet"
+    remedy = "see whether both processes are of versions that can follow each other"
+
 
 def one(kind: str, head: Dict[str, Any], payload: bytes = b"") -> bytes:
     """A message as one packet, however long."""
--- a/badgerroad/requests.py
+++ b/badgerroad/requests.py
@@ -7,6 +7,7 @@
 from typing import Dict, List, Mapping, Optional, Tuple
 
 from badgerroad.acquirer.http import Exchange
+from badgerroad.errors import Error
 from badgerroad.issuer.http import Leg, Order
 from badgerroad.net import http1
 from badgerroad.net.wheel import Timer
@@ -21,9 +22,12 @@
 REQUEST_ID = re.compile(rb"[A-Za-z0-9._~:@!$&'()*+;=-]{1,128}\Z")
 
 
-class BadRequest(Exception):
+class BadRequest(Error):
     """A header that the request needs is missing or malformed."""
 
+    code = "request"
+    remedy = "tell the client's owner"
+
 
 class OpenRequest:
     """Taken and not answered yet, or answered with legs still out."""
--- a/badgerroad/serving.py
+++ b/badgerroad/serving.py
@@ -7,13 +7,14 @@
 import os
 import signal
 import sys
-from typing import TYPE_CHECKING, Any, Optional
+from typing import TYPE_CHECKING, Any, Coroutine, Optional
 
 from tornado.ioloop import IOLoop
 
 from badgerroad import __version__, early
 from badgerroad.config import BadConfig, Config, load, parse, read, reload, text_of
 from badgerroad.dispatcher import Dispatcher
+from badgerroad.errors import CannotListen
 from badgerroad.limiting import limit
 from badgerroad.net import logs
 from badgerroad.net.wheel import Clock, Wheel
@@ -46,6 +47,20 @@
 
 
 async def serve(config: Config, operator: Any, operator_file: Optional[str], joined: "Optional[Joined]" = None) -> int:
+    """The exit code."""
+    return await _to_its_end(_serve(config, operator, operator_file, joined))
+
+
+async def _to_its_end(process: Coroutine[Any, Any, int]) -> int:
+    try:
+        return await process
+    except CannotListen as e:
+        print(f"badgerroad: {e.line}", file=sys.stderr)
+        return CANNOT_LISTEN
+
+
+async def _serve(config: Config, operator: Any, operator_file: Optional[str], joined: "Optional[Joined]") -> int:
+    """Raises CannotListen."""
     wheel = Wheel(Clock(), IOLoop.current())
     dispatcher, ops = assemble(config, wheel, counted=joined is not None)
     limit(dispatcher, operator)
@@ -86,7 +101,7 @@
                 operator_now = load_operator(operator_file)
                 logs.configure(operator_now.log)
         except BadConfig as e:
-            log.error("reload failed; the old configuration stays in force", why=" ".join(str(e).split()))
+            log.error("reload failed; the old configuration stays in force", **e.fields)
             if dispatcher.counts:
                 dispatcher.counts.conf_invalid += 1
         else:
@@ -111,8 +126,7 @@
         try:
             ops.listen(config.ops)   # before anything is taken from another process
         except OSError as e:
-            print(f"badgerroad: ops: {config.ops[0]}:{config.ops[1]}: {e.strerror}", file=sys.stderr)
-            return CANNOT_LISTEN
+            raise CannotListen("ops", config.ops, e) from e
         from badgerroad.succession import Succession
         succession = Succession(dispatcher, wheel, os.environ.get("TMPDIR") or "/tmp")
     if member is not None:
@@ -123,8 +137,7 @@
     try:
         host, port = await succession.begin() if succession is not None else dispatcher.start(member is not None)
     except OSError as e:
-        print(f"badgerroad: listen: {config.listen[0]}:{config.listen[1]}: {e.strerror}", file=sys.stderr)
-        return CANNOT_LISTEN
+        raise CannotListen("listen", config.listen, e) from e
     log.info("listening", name=config.name, version=__version__, address=f"{host}:{port}",
              discovery=f"{config.discovery[0]}:{config.discovery[1]}")
     if member is not None:
@@ -164,7 +177,7 @@
         else:
             config = load(os.environ)
     except BadConfig as e:
-        print(f"badgerroad: {' '.join(str(e).split())}", file=sys.stderr)
+        print(f"badgerroad: {e.line}", file=sys.stderr)
         return BAD_CONFIG
     if check_only:
         print(f"{config.name}: {len(config.settings.classes)} classes, {len(config.known['hosts'])} known hosts, "
@@ -180,5 +193,5 @@
     gc.freeze()   # what start-up made stays: the collector need not look at it again
     if workers > 1 and joined is None:
         from badgerroad.crew.supervisor import supervise
-        return asyncio.run(supervise(workers, config, text, operator, operator_file, verbose))
+        return asyncio.run(_to_its_end(supervise(workers, config, text, operator, operator_file, verbose)))
     return asyncio.run(serve(config, operator, operator_file, joined))
