Without second copies a leg called off has ended only when its host has heard so

Cause: a cancel counted as done before its DELETE was answered; lost on its way, the attempt ran on while another was sent.

--- a/badgerroad/issuer/http.py
+++ b/badgerroad/issuer/http.py
@@ -198,9 +198,13 @@
             return
         connection = leg.connection
         crossed = leg.asked and connection is not None and connection.peer_has_spoken()
-        if (leg.accepted or crossed) and leg.host:
+        if (leg.accepted or crossed) and leg.host and leg.order.id not in leg.host.cancelling:
             leg.host.cancelling[leg.order.id] = asyncio.get_event_loop().create_future()
-            spawn(self._delete(leg.host, leg.order.id))
+            # Where two may never be out, the leg has ended only once its host has heard so; else it runs on.
+            waits = result == i.CANCELLED and not self.settings.second_copies
+            spawn(self._delete(leg.host, leg.order.id, leg if waits else None))
+            if waits:
+                return
         self._end(leg, result)
         if connection is not None:
             connection.close()
@@ -228,9 +232,12 @@
     def cancel(self, leg: Leg) -> None:
         self._give_up(leg, i.CANCELLED)
 
-    async def _delete(self, host: IssuerHost, request_id: bytes) -> None:
+    async def _delete(self, host: IssuerHost, request_id: bytes, leg: Optional[Leg]) -> None:
+        """`leg`: what ends once the host has answered."""
         try:
             await self._short_call(host, b"DELETE", b"/jobs/" + request_id, DELETE_TIME)
+            if leg is not None:
+                self._end(leg, i.CANCELLED)
         except Broken as e:
             log.info("cancel failed", request=request_id.decode("latin-1"), host=host.name,
                      code=e.code, why=str(e))
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -8,6 +8,7 @@
 import pytest
 from helpers import MS, SEC
 from net import SETTINGS, World, id_of, job, reply, serve, story, until
+from tornado.ioloop import IOLoop
 
 from badgerroad.acquirer.client import ClientConnection
 from badgerroad.discovery.pace import TOLD, Pace
@@ -93,12 +94,11 @@
 @story
 async def test_a_leg_is_not_begun_for_a_client_whose_end_lies_unread_on_its_socket():
     async with Waits("preview") as s:
+        (connection,) = (c for c in s.world.dispatcher.acquirers.connections if c.exchange)
+        IOLoop.current().remove_handler(connection.stream.fileno())   # the loop does not come to read it
         s.sock.close()
-        s.world.dispatcher.issuers.hosts["h0"].cancelling[b"r1"].set_result(None)   # the leg goes on before the socket is read
-        await until(lambda: s.leg.over)
-        await asyncio.sleep(0.05)
-        assert posts(s.world.hosts[0]) == ["r1"]
-        s.world.dispatcher.issuers.hosts["h0"].cancelling.clear()
+        assert await s.open_gate() == ["r1"]
+        assert not s.world.dispatcher.requests and connection.closed
 
 
 @story
@@ -186,28 +186,27 @@
 @story
 async def test_a_second_answer_is_not_taken_for_the_answer_to_the_next_leg():
     """It said of a job that runs that it never ran."""
-    async def twice(world, head, _body):
+    gate = asyncio.Event()
+
+    async def full_once(_world, head, _body):
         if id_of(head) == "r1":
-            return FULL + FULL
+            return FULL
+        await gate.wait()
         return reply(202)
     unsafe = {**SETTINGS["requestClasses"][0], "semantics": "fragile"}
-    async with World(twice, requestClasses=[unsafe], permissions={**SETTINGS["permissions"], "secondCopies": False}) as w:
+    async with World(full_once, requestClasses=[unsafe]) as w:
         await until(lambda: w.dispatcher.ready)
-        parts = []
-        call = w.dispatcher.issuers._run_leg
-
-        async def run_leg(leg, issuer, until_, accept):
-            await call(leg, issuer, until_, accept)
-            parts.append([c for c, _ in issuer.idle])
-        w.dispatcher.issuers._run_leg = run_leg
-        w.begin(w.ask(job("r1", timeout=700)))
-        await until(lambda: parts)
-        assert parts[0] == []   # nothing is sent on it any more
-        w.dispatcher.decisions.workers["h0"].until = 0
+        w.begin(w.ask(job("r1", timeout=5000)))
+        await until(lambda: w.dispatcher.requests and w.dispatcher.requests[1].legs[0].over)
+        w.dispatcher.decisions.workers["h0"].until = w.dispatcher.decisions.workers["h0"].strikes = 0
         w.begin(w.ask(job("r2")))
-        await until(lambda: w.dispatcher.by_id.get(b"r2") and w.dispatcher.by_id[b"r2"].legs)
-        await until(lambda: w.dispatcher.by_id[b"r2"].legs[0].accepted)
-        assert posts(w.hosts[0]).count("r2") == 1
+        await until(lambda: posts(w.hosts[0])[-1] == "r2")
+        leg = w.dispatcher.by_id[b"r2"].legs[0]
+        w.hosts[0].writers[0].write(FULL)   # the second answer to r1
+        await asyncio.sleep(0.05)
+        gate.set()
+        await until(lambda: leg.accepted or leg.over)
+        assert leg.accepted and not leg.over
 
 
 @story
@@ -228,6 +227,36 @@
         await until(lambda: any(head.startswith(b"DELETE /jobs/r1 ") for head, _ in w.hosts[0].got))
 
 
+@pytest.mark.parametrize("hears", [True, False])
+@story
+async def test_where_two_may_never_be_out_a_leg_has_ended_only_when_its_host_has_heard_so(hears, monkeypatch):
+    monkeypatch.setattr("badgerroad.issuer.http.DELETE_TIME", 100_000)
+    gate = asyncio.Event()
+
+    async def slow(_world, head, _body):
+        if head.startswith(b"DELETE"):
+            await gate.wait()
+        return reply(202 if head.startswith(b"POST") else 200)
+    async with World(slow, slow, permissions={**SETTINGS["permissions"], "secondCopies": False}) as w:
+        await until(lambda: w.dispatcher.ready)
+        w.begin(w.ask(job("r1")))
+        await until(lambda: w.dispatcher.requests and w.dispatcher.requests[1].legs[0].accepted)
+        request = w.dispatcher.requests[1]
+        w.dispatcher.issuers.cancel(request.legs[0])
+        await asyncio.sleep(0.05)
+        assert not request.legs[0].over and len(request.legs) == 1
+        if hears:
+            gate.set()
+            await until(lambda: len(request.legs) == 2)
+            assert request.legs[0].over
+        else:
+            await asyncio.sleep(0.2)   # the cancel was lost: it still counts as out
+            assert not request.legs[0].over and len(request.legs) == 1
+            assert await w.call_back("r1", "done", request.legs[0].worker, result="made") == 200
+            await until(lambda: not w.dispatcher.requests)
+        gate.set()
+
+
 @story
 async def test_what_one_copy_proves_never_to_have_run_does_not_free_another_that_may_have():
     """The first copy was full after the second had been reset: the third went to another cell, where nobody drops it."""
