--- a/badgerroad/dispatcher.py
+++ b/badgerroad/dispatcher.py
@@ -16,7 +16,8 @@
 from badgerroad.config import Config
 from badgerroad.discovery.reader import Reader
 from badgerroad.discovery.routing_table import RoutingTable
-from badgerroad.issuer.http import ACCEPT_TIME, Issuers, Leg, Load, Order
+from badgerroad.issuer.http import ACCEPT_TIME, Issuers, Leg, Order
+from badgerroad.issuer.reports import Load
 from badgerroad.net import http1, logs
 from badgerroad.net.connection import Address, Descriptors
 from badgerroad.net.wheel import Wheel
--- a/badgerroad/issuer/http.py
+++ b/badgerroad/issuer/http.py
@@ -10,10 +10,10 @@
 
 import asyncio
 import json
-import math
 import socket
 from typing import Any, Callable, Dict, List, Optional, Tuple
 
+from badgerroad.issuer.reports import Load, Reports
 from badgerroad.net import http1, logs
 from badgerroad.net.connection import Address, Broken, CallConnection, Descriptors, NoDescriptor, spawn
 from badgerroad.net.wheel import Timer, Wheel
@@ -29,11 +29,6 @@
 AFTERMATH = 2_000_000     # or the 202 of a leg that a call-back has ended already
 RETIRE = 0.75             # part of the allowed idle time after which a connection is closed from this side
 
-Load = Optional[Tuple[float, ...]]
-# The settings and the sockets may use different words for one figure of a load report.
-WORDS = {"qps": "rps", "eps": "err_rps", "inflight": "active", "queue": "waiting", "util": "cpu",
-         "latency_ms": "avg_ms"}
-
 
 class Order:
     """What the legs of one request pass on, byte for byte."""
@@ -89,7 +84,7 @@
 
     def learn_words(self) -> None:
         """The settings name the figures of a load report, in order."""
-        self.fields = [(n, WORDS.get(n, n)) for n in self.settings.report_names]
+        self.reports = Reports(self.settings.report_names)
 
     def place(self, name: str, address: Address) -> None:
         """The routing table names a host, or its new address."""
@@ -171,7 +166,7 @@
         # connection, it could say that a job never ran which runs. A 202 or a probe's answer cannot.
         connection.close()
         leg.status = answer.status
-        self._end(leg, self._result_of(answer), self._load_header(answer))
+        self._end(leg, self._result_of(answer), self.reports.header(answer.get(b"server-load")))
 
     @staticmethod
     def _result_of(answer: http1.Message) -> str:
@@ -260,7 +255,7 @@
         if state == "running":
             self.raise_event(i.Progress(leg.request, leg.number, leg.worker, float(item.get("share") or 0.0)))
             return True
-        load = self._load_of(item["load"]) if isinstance(item.get("load"), dict) else None
+        load = self.reports.item(item["load"]) if isinstance(item.get("load"), dict) else None
         connection, result = leg.connection, item.get("result", "")
         if state == "done":
             body = result.encode() if isinstance(result, str) else json.dumps(result).encode()
@@ -377,31 +372,8 @@
         try:
             answer = await self._short_call(host, b"GET", b"/-/load", PROBE_TIME)
             result = i.OK if answer.status == 200 else i.ERROR
-            load = self._load_text(answer.body.decode("latin-1"))
+            load = self.reports.text(answer.body.decode("latin-1"))
         except Broken as e:
             result = i.RESET if e.sent else i.CONNECT_FAILED
         finally:
             self.raise_event(i.ProbeResult(host.name, result, self.clock.now() - begun, load))
-
-    def _load_header(self, answer: http1.Message) -> Load:
-        value = answer.get(b"server-load")
-        return None if value is None else self._load_text(value.decode("latin-1"))
-
-    def _load_text(self, text: str) -> Load:
-        """A report comes as `name=value,name=value`, in a body also as a JSON object."""
-        if text.lstrip().startswith("{"):
-            try:
-                return self._load_of(json.loads(text))
-            except ValueError:
-                return None
-        return self._load_of(dict(part.strip().partition("=")[::2] for part in text.split(",") if "=" in part))
-
-    def _load_of(self, report: Dict[str, Any]) -> Load:
-        if isinstance(report.get("load"), dict):
-            report = report["load"]
-        try:
-            given = {WORDS.get(n, n): float(v) for n, v in report.items()}
-            values = tuple(given[word] for _, word in self.fields)
-        except (KeyError, TypeError, ValueError):
-            return None   # a half report would be read as another one
-        return values if values and all(math.isfinite(v) for v in values) else None
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -2,16 +2,16 @@
 
 import asyncio
 import json
-import random
 import socket
 
 import pytest
-from helpers import MS, SEC
+from helpers import SEC
 from net import SETTINGS, World, id_of, job, reply, serve, story, until
 from tornado.ioloop import IOLoop
 
 from badgerroad.acquirer.client import ClientConnection
-from badgerroad.discovery.pace import TOLD, Pace
+from badgerroad.discovery.pace import TOLD
+from heathcrank import interface as i
 
 FULL = reply(503, b"", b"Not-Started: 1")
 
@@ -310,6 +310,46 @@
         assert w.dispatcher.clock.now() - back <= SETTINGS["obligations"]["stopSendingWithinUs"]
 
 
+@story
+async def test_a_whole_list_that_cannot_be_asked_for_is_a_failure_that_the_module_hears_of(monkeypatch):
+    async with World(serve) as w:
+        await until(lambda: w.dispatcher.ready)
+        heard, table = [], w.dispatcher.table
+        table.news = lambda news, places: heard.append(news.scope)
+
+        def none_left(*_):
+            raise OSError(24, "Too many open files")
+        monkeypatch.setattr("badgerroad.discovery.routing_table.CallConnection", none_left)
+        table.fetch()
+        await until(lambda: heard)
+        assert heard == [i.FAILED]
+
+
+@story
+async def test_clients_that_filled_the_descriptors_while_discovery_was_down_hinder_neither_it_nor_legs():
+    out, returned = asyncio.Event(), asyncio.Event()
+
+    async def script(head, _body):
+        await asyncio.sleep(0.05)
+        if out.is_set():
+            return reply(503)
+        return reply(200, json.dumps({"seq": 2 + returned.is_set(), "whole": True, "hosts": w.entries}).encode())
+    w = World(serve, limits=224, discovery=script)
+    async with w:
+        await until(lambda: w.dispatcher.ready)
+        out.set()
+        idle = [await w.connect() for _ in range(230)]
+        for _, writer in idle:
+            writer.write(b"GET /-/ready HTTP/1.1\r\n\r\n")
+        await until(lambda: w.dispatcher.descriptors.scarce)
+        out.clear()
+        returned.set()
+        began = w.dispatcher.clock.now()
+        await until(lambda: w.dispatcher.table.seq == 3)
+        assert w.dispatcher.clock.now() - began < TOLD
+        assert (await w.ask(job("r1")))[0] == 200
+
+
 @story
 async def test_a_new_address_of_a_host_is_not_reached_by_connections_to_the_old_one():
     async with World(serve, serve) as w:
@@ -323,58 +363,3 @@
         w.dispatcher.issuers.place("h0", ("127.0.0.1", w.hosts[1].port))   # while it was in use
         w.dispatcher.issuers._checkin(issuer, connection)
         assert not issuer.idle and connection.closed
-
-
-class Discovery:
-    """A discovery in virtual time, from one dispatcher's side: it is out at times, its watches fall silent or break, and
-    of two looks that follow each other one may fail."""
-
-    def __init__(self, seed, dispatchers):
-        self.r = random.Random(seed)
-        self.pace = Pace(dispatchers, self.r.randrange(dispatchers), random.Random(seed))
-        self.outs = [(t, t + self.r.randrange(1, 12) * SEC) for t in range(20 * SEC, 200 * SEC, 30 * SEC)]
-        self.failed = False
-
-    def out(self, at):
-        return next((end for begin, end in self.outs if begin <= at < end), 0)
-
-    def known(self):
-        """Runs 240 s; for each answer when the call that it answers was begun, and when it came."""
-        at, answers = self.pace.before(True), []
-        while at < 240 * SEC:
-            call, begun = self.pace.call(), at
-            fate, took = self.r.random(), self.r.randrange(1, 100) * MS
-            came = begun + (call.wait or 0) + took
-            next_out = next((b for b, _ in self.outs if begun <= b < came), 0)
-            if self.out(begun):       # silent, refused, or failed after a while
-                took, ok = self.r.choice([call.patience, 1 * MS, min(400 * MS, call.patience)]), False
-            elif next_out:
-                took, ok = next_out - begun + 1 * MS, False
-            elif call.watches:
-                ok = fate > 0.3
-                took = call.wait + took if ok else call.patience if fate < 0.2 else self.r.randrange(call.wait)
-            else:
-                ok = self.failed or fate > 0.3
-                self.failed = not ok
-                took = took if ok else self.r.choice([call.patience, 1 * MS])
-            at = begun + took
-            if ok:
-                answers.append((begun + (call.wait if call.watches else 0), at))
-                self.pace.answered()
-            else:
-                at += self.pace.failed(call, took)
-        return answers
-
-
-@pytest.mark.parametrize("dispatchers", [1, 4, 6, 40, 200])
-def test_over_random_chains_what_discovery_has_is_known_before_it_counts_as_told(dispatchers):
-    for seed in range(60):
-        d = Discovery(seed, dispatchers)
-        answers = d.known()
-        for change in range(0, 230 * SEC, 100 * MS):
-            had = d.out(change) or change      # and could be reached
-            while any(had < begin < had + TOLD for begin, _ in d.outs):
-                had = next(end for begin, end in d.outs if had < begin < had + TOLD)   # counted anew at its return
-            known = next((at for as_of, at in answers if as_of >= had), None)
-            assert known is None or known - had <= TOLD, (seed, change, known - had)
-            assert known is not None or had > 230 * SEC
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -5,6 +5,7 @@
 from random import Random
 
 import pytest
+from helpers import MS, SEC
 from net import World, job, reply, serve, story, until
 
 from badgerroad.discovery import pace
@@ -117,3 +118,58 @@
         await until(lambda: w.dispatcher.ready)
         assert w.dispatcher.clock.now() - began < 2_000_000
         assert b"index" not in w.discovery.got[0][0]   # the whole list
+
+
+class Discovery:
+    """A discovery in virtual time, from one dispatcher's side: it is out at times, its watches fall silent or break, and
+    of two looks that follow each other one may fail."""
+
+    def __init__(self, seed, dispatchers):
+        self.r = Random(seed)
+        self.pace = pace.Pace(dispatchers, self.r.randrange(dispatchers), Random(seed))
+        self.outs = [(t, t + self.r.randrange(1, 12) * SEC) for t in range(20 * SEC, 200 * SEC, 30 * SEC)]
+        self.failed = False
+
+    def out(self, at):
+        return next((end for begin, end in self.outs if begin <= at < end), 0)
+
+    def known(self):
+        """Runs 240 s; for each answer when the call that it answers was begun, and when it came."""
+        at, answers = self.pace.before(True), []
+        while at < 240 * SEC:
+            call, begun = self.pace.call(), at
+            fate, took = self.r.random(), self.r.randrange(1, 100) * MS
+            came = begun + (call.wait or 0) + took
+            next_out = next((b for b, _ in self.outs if begun <= b < came), 0)
+            if self.out(begun):       # silent, refused, or failed after a while
+                took, ok = self.r.choice([call.patience, 1 * MS, min(400 * MS, call.patience)]), False
+            elif next_out:
+                took, ok = next_out - begun + 1 * MS, False
+            elif call.watches:
+                ok = fate > 0.3
+                took = call.wait + took if ok else call.patience if fate < 0.2 else self.r.randrange(call.wait)
+            else:
+                ok = self.failed or fate > 0.3
+                self.failed = not ok
+                took = took if ok else self.r.choice([call.patience, 1 * MS])
+            at = begun + took
+            if ok:
+                answers.append((begun + (call.wait if call.watches else 0), at))
+                self.pace.answered()
+            else:
+                at += self.pace.failed(call, took)
+        return answers
+
+
+@pytest.mark.parametrize("dispatchers", [1, 4, 6, 40, 200])
+def test_over_random_chains_what_discovery_has_is_known_before_it_counts_as_told(dispatchers):
+    for seed in range(60):
+        d = Discovery(seed, dispatchers)
+        answers = d.known()
+        for change in range(0, 230 * SEC, 100 * MS):
+            had = d.out(change) or change      # and could be reached
+            while any(had < begin < had + TOLD for begin, _ in d.outs):
+                had = next(end for begin, end in d.outs if had < begin < had + TOLD)   # counted anew at its return
+            known = next((at for as_of, at in answers if as_of >= had), None)
+            assert known is None or known - had <= TOLD, (seed, change, known - had)
+            assert known is not None or had > 230 * SEC
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -648,7 +648,7 @@
         w.dispatcher.issuers.probe("h0")
         await until(lambda: got)
         assert (got[0].worker, got[0].result, got[0].load) == ("h0", i.OK, (1.5, 3.0, 2.0))
-        assert w.dispatcher.issuers._load_text(json.dumps({"load": {"rps": 1, "active": 2, "x0": 0}})) == (1, 2, 0)
+        assert w.dispatcher.issuers.reports.text(json.dumps({"load": {"rps": 1, "active": 2, "x0": 0}})) == (1, 2, 0)
 
 
 @story
