--- /dev/null
+++ b/badgerroad/emulator/machine.py
@@ -0,0 +1,387 @@
+"""One dispatcher in virtual time: the decision module on a machine that costs nothing, with what it holds."""
+
+from __future__ import annotations
+
+from collections import deque
+from functools import partial
+from json import dumps
+from random import Random
+from typing import TYPE_CHECKING, Any, Callable, Deque, Dict, List, Optional, Protocol, Tuple
+
+from badgerroad.discovery.pace import Pace
+from badgerroad.emulator import scenario as sc
+from badgerroad.emulator.model import nodes
+from badgerroad.emulator.model.clients import BROKEN, Try
+from badgerroad.emulator.model.kernel import SEC, Entry
+from badgerroad.emulator.model.nodes import Job, RenderNode
+from badgerroad.emulator.model.referee import FAILED, REFUSED, SERVED
+from badgerroad.emulator.model.referee import Leg as SeenLeg
+from badgerroad.emulator.model.registry import Answer
+from badgerroad.limits.budget import RetryBudget
+from heathcrank import interface as i
+from heathcrank.settings import settings_from
+
+if TYPE_CHECKING:
+    from badgerroad.emulator.virtual import VirtualWorld
+
+ACCEPT_TIME, PROBE_TIME = 300_000, SEC   # as issuer/http.py has them
+DRAIN_LEAST = 800_000
+KEPT_IDLE = 64              # connections kept to one node
+
+
+class Decisions(Protocol):
+    """The module's interface, behind which baselines stand too."""
+
+    def handle(self, now: int, event: i.Event) -> List[i.Action]: ...
+
+
+Make = Callable[[i.Settings, int], Decisions]
+
+
+class Leg:
+    __slots__ = ("number", "node", "over", "accepted", "heard", "started", "timer", "accept", "seen", "job", "sent",
+                 "fresh", "life")
+
+    def __init__(self, number: int, node: RenderNode, sent: int) -> None:
+        self.number, self.node, self.sent = number, node, sent
+        self.over = self.accepted = self.heard = self.started = self.fresh = False
+        self.timer: Optional[Entry] = None
+        self.accept: Optional[Entry] = None
+        self.seen: Optional[SeenLeg] = None
+        self.job: Optional[Job] = None
+        self.life = 0
+
+
+class Open:
+    __slots__ = ("number", "attempt", "legs", "answered", "out", "deadline")
+
+    def __init__(self, number: int, attempt: Try, deadline: int) -> None:
+        self.number, self.attempt, self.deadline = number, attempt, deadline
+        self.legs: List[Leg] = []
+        self.answered, self.out = False, 0
+
+
+class Machine:
+    """One dispatcher. A kill makes all that it held void; a start makes a new life."""
+
+    def __init__(self, world: "VirtualWorld", number: int, make: Make) -> None:
+        self.world, self.number, self.make = world, number, make
+        self.kernel, self.hall = world.kernel, world.home[number]
+        self.settings = settings_from(dumps(sc.settings_of(world.scenario, number, self.hall)).encode())
+        self.life, self.up, self.frozen, self.draining = 0, False, False, False
+        self.list: Tuple[Any, ...] = tuple(world.registry.entries.values())
+        self.version = world.registry.version   # of the list held; it outlives a restart, as the platform keeps it
+        self._backlog: Deque[Callable[[], None]] = deque()
+
+    def start(self) -> None:
+        self.life += 1
+        self.up, self.draining, self.ready, self.frozen = True, False, False, False
+        seed = self.world.seed * 1000 + self.number * 16 + self.life
+        self.decisions = self.make(self.settings, seed)
+        limits = self.world.scenario.retries
+        self.budget = None if limits.retries == "free" else RetryBudget(
+            limits.retry_share, limits.retry_least, int(limits.retry_window_s * SEC))
+        self.pace = Pace(self.settings.dispatchers, self.settings.number, Random(seed))
+        self.requests: Dict[int, Open] = {}
+        self.by_id: Dict[str, Open] = {}
+        self.busy: Dict[Tuple[str, str], Leg] = {}
+        self.idle: Dict[str, List[Tuple[int, int]]] = {}   # node: (its life, last used)
+        self._count, self._line, self._handling, self._watching = 0, deque[i.Event](), False, False
+        self._backlog.clear()
+        self.feed(i.WorkerList(i.CACHED, 0, self._infos(self.list)))
+
+    def kill(self) -> None:
+        self.up, self.frozen = False, False
+        self.life += 1
+        requests, self.requests = self.requests, {}
+        for request in requests.values():
+            if not request.answered:
+                self.world.clients.ended(request.attempt, BROKEN)
+            for leg in request.legs:
+                if not leg.over:
+                    leg.over = True   # its connection breaks; a job that a node has accepted runs on
+        for name, kept in self.idle.items():
+            for _ in kept:
+                self.world.by_name[name].disconnect()
+
+    def freeze(self, on: bool) -> None:
+        """While stopped nothing is handled; then all of it, in the order in which it came."""
+        self.frozen = on and self.up
+        while not self.frozen and self._backlog:
+            self._backlog.popleft()()
+
+    def later(self, delay: Optional[int], call: Callable[..., None], *args: Any) -> None:
+        """Play something in this life, once it is awake; a vanished message never."""
+        if delay is not None:
+            self.kernel.after(delay, self._play, self.life, partial(call, *args))
+
+    def _play(self, life: int, call: Callable[[], None]) -> None:
+        if life != self.life or not self.up:
+            return
+        if self.frozen:
+            self._backlog.append(call)
+        else:
+            call()
+
+    # The module.
+
+    def feed(self, event: i.Event) -> None:
+        self._line.append(event)
+        if self._handling:
+            return
+        self._handling = True
+        try:
+            while self._line:
+                for action in self.decisions.handle(self.kernel.now + self.world.start, self._line.popleft()):
+                    self._perform(action)
+        finally:
+            self._handling = False
+
+    def _perform(self, a: i.Action) -> None:
+        if isinstance(a, i.SetTimer):
+            self.later(a.delay, self.feed, i.Timer(a.token))
+        elif isinstance(a, i.Send):
+            self._send(a)
+        elif isinstance(a, i.Refuse):
+            wait = min(a.retry_after, self.settings.max_retry_after) if self.settings.retry_after else 0
+            self._answer(self.requests.get(a.request), REFUSED, wait)
+        elif isinstance(a, i.Fail):
+            self._answer(self.requests.get(a.request), FAILED)
+        elif isinstance(a, i.Cancel):
+            request = self.requests.get(a.request)
+            if request and a.attempt < len(request.legs):
+                self._give_up(request, request.legs[a.attempt], i.CANCELLED)
+        elif isinstance(a, i.Subscribe):
+            if a.on and not self._watching:
+                self._watching = True
+                self.later(self.pace.before(True), self._call)
+        elif isinstance(a, i.Probe):
+            self._probe(self.world.by_name[str(a.worker)])
+        elif isinstance(a, i.CloseIdle):
+            for _ in self.idle.pop(str(a.worker), []):
+                self.world.by_name[str(a.worker)].disconnect()
+
+    # Clients.
+
+    def take(self, attempt: Try) -> None:
+        self._count += 1
+        job, left = attempt.job, attempt.deadline - self.kernel.now
+        self.world.referee.took(attempt.id, job.key, job.class_index, self.number, attempt.deadline)
+        request = self.requests[self._count] = self.by_id[attempt.id] = Open(self._count, attempt, attempt.deadline)
+        self.later(max(left - self.settings.tick, 0), self._answer, request, FAILED)
+        self.feed(i.Request(request.number, job.class_index, 0, 0, max(left // 1000 * 1000, 1000), job.hint,
+                            float(job.slots), job.memory, job.tries > 1 and self.settings.marks_retry))
+
+    def client_gone(self, attempt: Try) -> None:
+        request = self.by_id.get(attempt.id)
+        if request and not request.answered:
+            request.answered = True
+            self.feed(i.ClientGone(request.number))
+            self._settle(request)
+
+    def _answer(self, request: Optional[Open], kind: str, wait: int = 0) -> None:
+        if request is None or request.answered:
+            return
+        request.answered = True
+        self.world.answered(request.attempt, kind, wait)
+        self._settle(request)
+
+    def _settle(self, request: Open) -> None:
+        if request.answered and not request.out:
+            self.requests.pop(request.number, None)
+            self.by_id.pop(request.attempt.id, None)
+
+    @property
+    def owed(self) -> bool:
+        return any(not r.answered for r in self.requests.values())
+
+    # Legs.
+
+    def _send(self, a: i.Send) -> None:
+        request, now = self.requests[a.request], self.kernel.now
+        node = self.world.by_name[str(a.worker)]
+        leg = Leg(len(request.legs), node, now)
+        request.legs.append(leg)
+        request.out += 1
+        key = request.attempt.id, node.name
+        left = request.deadline - now
+        left = min(left, a.timeout) if a.timeout else left
+        if (request.answered or leg.number >= self.settings.max_attempts or key in self.busy or left <= 0
+                or self._beyond_budget(request, leg)):
+            self._leg_over(request, leg, i.MOOT)
+            return
+        self.busy[key] = leg
+        leg.timer = self.kernel.after(left, self._play, self.life,
+                                      partial(self._give_up, request, leg, i.TIMEOUT))
+        idle = self.idle.get(node.name)
+        leg.fresh = True
+        while idle and leg.fresh:
+            life, used = idle.pop()
+            leg.fresh = life != node.since or not node.up or now - used > self.settings.connection_idle * 3 // 4
+        leg.life = node.since
+        delay = self.world.network.delay(self.hall, node.hall)
+        back = self.world.network.delay(node.hall, self.hall)
+        if leg.fresh:
+            trips = self.world.scenario.network.handshake_trips
+            if delay is None or back is None or node.silent:
+                self.later(self.settings.connect_timeout or SEC, self._connect_failed, request, leg)
+                return
+            self.world.referee.handshakes += 1
+            self.world.note("connect", dispatcher=self.number, node=node.name)
+            delay = delay + int((delay + back) * trips / 2)
+        if request.attempt.job is not None and self.settings.classes[request.attempt.job.class_index].semantics != (
+                i.UNSAFE):
+            leg.accept = self.kernel.after((delay or 0) + ACCEPT_TIME, self._play, self.life,
+                                           partial(self._unheard, request, leg))
+        if delay is not None:
+            self.kernel.after(delay, self.world.leg_arrives, self, request, leg)
+
+    def _beyond_budget(self, request: Open, leg: Leg) -> bool:
+        if self.budget is None:
+            return False
+        cls = self.settings.classes[request.attempt.job.class_index].name
+        if leg.number:
+            return not self.budget.again(cls, self.kernel.now, request.out > 1)
+        self.budget.first(cls, self.kernel.now)
+        return False
+
+    def _connect_failed(self, request: Open, leg: Leg) -> None:
+        self.leg_ended(request, leg, i.CONNECT_FAILED)
+
+    def _unheard(self, request: Open, leg: Leg) -> None:
+        if not leg.over and not leg.accepted and not leg.heard:
+            self._give_up(request, leg, i.TIMEOUT)
+
+    def accepted(self, leg: Leg) -> None:
+        leg.accepted = True
+
+    def called_back(self, request: Open, leg: Leg, state: str, share: float) -> None:
+        if leg.over:
+            return
+        leg.heard = True
+        if state == nodes.STARTED:
+            if not leg.started:
+                leg.started = True
+                self.feed(i.Started(request.number, leg.number, leg.node.name))
+        elif state == nodes.RUNNING:
+            self.feed(i.Progress(request.number, leg.number, leg.node.name, share))
+        else:
+            result = {nodes.DONE: i.OK, nodes.FAILED: i.ERROR, nodes.RETURNED: i.FULL, nodes.LOST: i.RESET}[state]
+            self.leg_ended(request, leg, result)
+
+    def leg_ended(self, request: Open, leg: Leg, result: str) -> None:
+        """A node, or the network, has ended a leg."""
+        if leg.over:
+            return
+        if result != i.CONNECT_FAILED:
+            kept = self.idle.setdefault(leg.node.name, [])
+            if leg.life == leg.node.since and len(kept) < KEPT_IDLE:
+                kept.append((leg.life, self.kernel.now))
+        if result == i.OK:
+            self._answer(request, SERVED)
+        self._leg_over(request, leg, result)
+
+    def _give_up(self, request: Open, leg: Leg, result: str) -> None:
+        """Stop waiting, and tell the node so."""
+        if leg.over:
+            return
+        delay = self.world.network.delay(self.hall, leg.node.hall)
+        if delay is not None:
+            self.kernel.after(delay, self.world.leg_cancelled, self, request.attempt.id, leg)
+        self.world.referee.leg_over(leg.seen, False)
+        self._leg_over(request, leg, result)
+
+    def _leg_over(self, request: Open, leg: Leg, result: str) -> None:
+        """The one place where a leg is given back."""
+        leg.over = True
+        for timer in (leg.timer, leg.accept):
+            if timer is not None:
+                timer.cancel()
+        if self.busy.get((request.attempt.id, leg.node.name)) is leg:
+            del self.busy[request.attempt.id, leg.node.name]
+        request.out -= 1
+        self.world.note("leg", id=request.attempt.id, dispatcher=self.number, node=leg.node.name, result=result)
+        self.feed(i.Outcome(request.number, leg.number, leg.node.name, result, self.kernel.now - leg.sent,
+                            request.answered, None))
+        self._settle(request)
+
+    # Discovery and probes.
+
+    def _infos(self, entries: Tuple[Any, ...]) -> Tuple[i.WorkerInfo, ...]:
+        return tuple(i.WorkerInfo(e.node, e.state, e.since, e.kind, e.hall, e.rack, e.weight) for e in entries)
+
+    def _call(self) -> None:
+        """What has changed since the list held."""
+        call, done, begun = self.pace.call(), [False], self.kernel.now
+        self.world.note("discovery", dispatcher=self.number, wait=call.wait)
+
+        def reply(answer: Optional[Answer]) -> None:
+            # Written now; read one trip later.
+            if answer is not None and self.up:
+                self.world.told(self.number, answer)
+            self.later(self.world.network.delay(self.hall, self.hall), heard, answer)
+
+        def heard(answer: Optional[Answer]) -> None:
+            if done[0]:
+                return
+            done[0] = True
+            if answer is None:
+                failed()
+                return
+            self.pace.answered()
+            scope = i.WHOLE if answer.whole else i.CHANGES
+            known = {} if answer.whole else {e.node: e for e in self.list}
+            known.update((e.node, e) for e in answer.entries)
+            self.list = tuple(e for e in known.values() if e.state != "gone")
+            self.version = answer.version
+            self.world.note("listed", dispatcher=self.number, version=answer.version)
+            self._be_ready()
+            self.feed(i.WorkerList(scope, answer.version, self._infos(answer.entries)))
+            self._call()
+
+        def late() -> None:
+            if not done[0]:
+                done[0] = True
+                failed()
+
+        def failed() -> None:
+            pause = self.pace.failed(call, self.kernel.now - begun)
+            if self.pace.out:
+                self.world.note("discovery failed", dispatcher=self.number)
+                self._be_ready()
+                self.feed(i.WorkerList(i.FAILED))
+            self.later(pause, self._call)
+
+        self.later(call.patience, late)
+        life = self.life
+
+        def arrives() -> None:
+            if life == self.life:
+                self.world.registry.call(self.number, self.version, call.wait, reply)
+        delay = self.world.network.delay(self.hall, self.hall)
+        if delay is not None:
+            self.kernel.after(delay, arrives)
+
+    def _be_ready(self) -> None:
+        if not self.ready:
+            self.ready = True
+            if not self.draining:
+                self.world.dispatcher_ready(self.number)
+
+    def _probe(self, node: RenderNode) -> None:
+        sent, there = self.kernel.now, self.world.network.delay(self.hall, node.hall)
+        back = self.world.network.delay(node.hall, self.hall)
+        self.world.referee.probes += 1
+        self.world.note("probe", dispatcher=self.number, node=node.name)
+        if there is None or back is None or not node.up or node.silent:
+            result = i.CONNECT_FAILED if not node.up else i.TIMEOUT
+            self.later(2000 if not node.up else PROBE_TIME,
+                       lambda: self.feed(i.ProbeResult(node.name, result, self.kernel.now - sent)))
+            return
+
+        def arrives() -> None:
+            load = node.probe()
+            values = None if load is None else (load["qps"], load["inflight"], load["x0"], load["x1"])
+            self.later(back, lambda: self.feed(i.ProbeResult(
+                node.name, i.CONNECT_FAILED if values is None else i.OK, self.kernel.now - sent, values)))
+        self.kernel.after(there, arrives)
--- a/tests/test_shell.py
+++ b/tests/test_shell.py
@@ -10,7 +10,7 @@
 
 import pytest
 from net import SETTINGS, World, job, serve, story
-from test_stories import program
+from test_programs import program
 
 from badgerroad.config import BadConfig
 from badgerroad.net import logs
