--- a/badgerroad/discovery/pace.py
+++ b/badgerroad/discovery/pace.py
@@ -18,8 +18,7 @@
 
 from __future__ import annotations
 
-from random import Random
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 TOLD = 6_000_000
 LEAST_WAIT, WAIT = 300_000, 2_300_000
@@ -43,6 +42,12 @@
 LEAST_AGENT = 100_000    # where the settings leave it no time at all
 
 
+class Draws(Protocol):
+    """A source of random numbers of the caller's own."""
+
+    def randint(self, a: int, b: int) -> int: ...
+
+
 class Call(NamedTuple):
     wait: int            # microseconds that discovery may wait for news; 0: it answers at once
     patience: int        # how long the answer is waited for
@@ -53,8 +58,8 @@
 
 
 class Pace:
-    def __init__(self, dispatchers: int, number: int, random: Random) -> None:
-        self._random, self._many = random, dispatchers if dispatchers > FEW else 0
+    def __init__(self, dispatchers: int, number: int, draws: Draws) -> None:
+        self._draws, self._many = draws, dispatchers if dispatchers > FEW else 0
         self._turn = number * GOLDEN % 1   # from 0 to 1; evenly spread over any of the dispatchers
         self.within = 0          # an agent's list: the time within which sends must stop; 0: discovery is asked
         self._looking, self._failures = True, 0
@@ -82,7 +87,7 @@
         if self.within:
             wait = int(self.within * AGENT_WAIT)
             return Call(wait, wait + int(self.within * AGENT_SILENCE))
-        wait = self._random.randint(LEAST_WAIT, WAIT)
+        wait = self._draws.randint(LEAST_WAIT, WAIT)
         return Call(wait, wait + SILENCE)
 
     @property
--- a/tests/test_other_customers.py
+++ b/tests/test_other_customers.py
@@ -4,7 +4,8 @@
 
 import pytest
 from helpers import MS, SEC, Driver, finals, sends
-from test_scale import KEYED, Group, infos, many, zoned
+from test_scale import KEYED, Group, infos, many
+from test_zones import zoned
 
 from heathcrank import interface as i
 
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -164,7 +164,7 @@
             data = {**DATA, "settings": {**SETTINGS, "requestClasses": list(classes), **more}}
             w.dispatcher.reload(read(data, {})._replace(listen=fresh.listen, discovery=fresh.discovery))
         change({**CLASS, "name": "preview"}, accounts=[{"name": "t"}], report={"names": ["qps"], "via": "probe"})
-        assert w.dispatcher.issuers.fields == [("qps", "rps")]
+        assert w.dispatcher.issuers.reports.words == ["rps"]
         assert (await w.ask(job("r0", "preview")))[0] == 400        # whose is it?
         change({**CLASS, "name": "preview"}, {**CLASS, "name": "amend"})
         assert (await w.figures())["answered"] == {"preview": 0, "bundle": 0, "amend": 0}
