--- a/heathcrank/brain.py
+++ b/heathcrank/brain.py
@@ -33,7 +33,7 @@
 MOST_AWAY = 0.7      # part of the first attempts that goes away at most: home must show when it is better again
 SICK = 3.0           # a run of so many times its hint or more speaks of its worker
 STACK = 0.05         # share of jobs sent on top of own ones there: one each never shows how many slots there are
-CROWDED, LEAST_COPIES, MOST_SPARE, BLIND = 0.75, 0.1, 4.0, 0.25  # of `busy`; of copies for each job, saved up, unhinted
+CROWDED, LEAST_COPIES, MOST_SPARE, BLIND = 0.75, 0.1, 4.0, 0.1  # of `busy`; of copies for each job, saved up, unhinted
 
 
 class Dispatcher:
