--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -109,8 +109,12 @@
         sock = socket.create_connection(("127.0.0.1", w.port))
         sock.sendall(b"".join(job(f"r{n}", "preview", 5000, b"x" * 30_000) for n in range(20)))
         await until(lambda: w.hosts[0].got)
+        heard, handle = [], w.dispatcher.decisions.handle
+        w.dispatcher.decisions.handle = lambda now, e: heard.append(type(e)) or handle(now, e)
         sock.close()
         await until(lambda: not w.dispatcher.owed)
+        # Seen at once: the leg has not run out of its time first.
+        assert next(e for e in heard if e in (i.ClientGone, i.Outcome)) is i.ClientGone
         assert posts(w.hosts[0]) == ["r0"] and not w.dispatcher.acquirers.connections
 
 
@@ -160,6 +164,7 @@
         sock.sendall(job("r1"))   # before the loop turns again
         assert await loop.run_in_executor(None, sock.recv, 65536) == b""
         await asyncio.sleep(0.05)
+        sock.sendall(b"x")   # raises if what crossed was met by a reset
         assert not w.hosts[0].got and not w.dispatcher.requests
         sock.close()
         await until(lambda: not w.dispatcher.acquirers.connections)
@@ -315,6 +320,8 @@
     async with World(serve) as w:
         await until(lambda: w.dispatcher.ready)
         heard, table = [], w.dispatcher.table
+        table.close()   # its watch would fail too, and be heard of
+        await until(lambda: not table._watching)
         table.news = lambda news, places: heard.append(news.scope)
 
         def none_left(*_):
