No further attempt goes to a worker that may still run an earlier one

Cause: an attempt was "accepted" or "not accepted". One whose last byte was written and whose 202 this process had not handled counted as the second; closing its connection was taken as the end of it. If the 202 crossed with the close, the worker ran the job, and a later attempt of the request could go to the same worker. The same held for a 202 that was read and not handled yet, for a job event before the 202, for a connection that broke before the 202, and for a DELETE that failed or was not answered within 1 s.

Change: attempts have a phase (unsent, sent, acknowledged, ended). An attempt that ends as sent, and one whose cancel is not answered, puts its worker into the request's `unconfirmed_workers`. An acknowledged one is cancelled with DELETE. A further attempt to such a worker begins only after the worker has answered a DELETE; if it does not, the attempt ends as "connect failed", so that the policy chooses another worker. The set moves with the request to the other process of a hot restart (message field `unconfirmed`; without it, as an older version writes, all workers tried count); a request does not move while a cancel is open.

Each cancel before a further attempt is logged as `earlier_attempt_cancelled` with the worker's status.

--- a/badgerroad/backend/attempts.py
+++ b/badgerroad/backend/attempts.py
@@ -2,19 +2,34 @@
 
 from __future__ import annotations
 
+import enum
+
 from badgerroad.backend.worker_connections import WorkerConnections
 from badgerroad.net import http1
 from badgerroad.net.call_connection import CallConnection
 from badgerroad.net.timer_wheel import Timer
 
 
+class AttemptPhase(enum.Enum):
+    """How far an attempt has come, as far as this process knows. It decides how the attempt can be given up."""
+
+    UNSENT = "unsent"
+    """The last byte has not been written, so the worker never runs the attempt if its connection is closed now."""
+    SENT = "sent"
+    """The last byte has been written and nothing has come back: the worker may run the attempt or not."""
+    ACKNOWLEDGED = "acknowledged"
+    """The worker has responded, sent a job event or ended the connection: it runs the attempt unless told otherwise."""
+    ENDED = "ended"
+
+
 class ForwardedRequest:
-    """The parts of a client's request that all its attempts forward unchanged.
+    """The parts of a client's request that all its attempts share.
 
-    `deadline` is in microseconds of the clock.
+    `deadline` is in microseconds of the clock. `unconfirmed_workers` holds the names of the workers that may still run
+    an attempt that has ended here; no further attempt is sent to them until they have answered a `DELETE`.
     """
 
-    __slots__ = ("id", "method", "target", "headers", "body", "deadline")
+    __slots__ = ("id", "method", "target", "headers", "body", "deadline", "unconfirmed_workers")
 
     def __init__(
         self, method: bytes, target: bytes, body: bytes, request_id: bytes, headers: http1.Headers, deadline: int
@@ -26,6 +41,7 @@
         self.body = body
         self.headers = headers
         self.deadline = deadline
+        self.unconfirmed_workers: set[str] = set()
 
 
 class Attempt:
@@ -81,6 +97,28 @@
         """Request ID and worker, which are unique: a worker holds at most one attempt of a request at a time."""
         return self.forwarded.id, self.worker
 
+    @property
+    def phase(self) -> AttemptPhase:
+        """How far the attempt has come."""
+        if self.ended:
+            return AttemptPhase.ENDED
+        if self.accepted or self.event_received:
+            return AttemptPhase.ACKNOWLEDGED
+        if not self.written or self.connection is None:
+            return AttemptPhase.UNSENT
+        if self.connection.response_received or self.connection.peer_has_sent():
+            return AttemptPhase.ACKNOWLEDGED
+        return AttemptPhase.SENT if self.connection.all_written else AttemptPhase.UNSENT
+
+    @property
+    def has_open_cancel(self) -> bool:
+        """Whether a cancel of the request is open at this attempt's worker."""
+        return self.connections is not None and self.forwarded.id in self.connections.cancelling
+
+    def mark_unconfirmed(self) -> None:
+        """Record that the worker may still run the attempt although it ends here."""
+        self.forwarded.unconfirmed_workers.add(self.worker)
+
     @property
     def log_fields(self) -> dict[str, object]:
         """The log fields that identify the attempt."""
--- a/badgerroad/backend/cancels.py
+++ b/badgerroad/backend/cancels.py
@@ -1,46 +1,91 @@
-"""Cancels jobs by `DELETE /jobs/<request id>` to a worker that has accepted an attempt."""
+"""Cancels jobs by `DELETE /jobs/<request id>` to a worker that runs, or may run, an attempt."""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable
 
-from badgerroad.backend.worker_connections import ConnectionPools, WorkerConnections
+from badgerroad.backend.attempts import ForwardedRequest
+from badgerroad.backend.worker_connections import CancelOutcome, ConnectionPools, WorkerConnections
 from badgerroad.net import logs
 from badgerroad.net.background_tasks import spawn
-from badgerroad.net.call_connection import ConnectionBrokenError
+from badgerroad.net.call_connection import ConnectionBrokenError, NoDescriptorError
 
 log = logs.get("badgerroad")
 
 CANCEL_TIMEOUT_US = 1_000_000
+NO_CANCEL = CancelOutcome()
 
 
 class Cancels:
-    """Cancels jobs at workers. While a cancel is open, no attempt of the same request is sent to that worker."""
+    """Cancels jobs at workers.
+
+    From the start of a cancel until the worker answers one, the worker is in the request's `unconfirmed_workers`.
+    """
 
     def __init__(self, pools: ConnectionPools) -> None:
         """Send cancels on connections from `pools`."""
         self._pools = pools
 
-    def start(self, worker: WorkerConnections, request_id: bytes, on_confirmed: Callable[[], None] | None) -> None:
+    def start(
+        self, worker: WorkerConnections, request: ForwardedRequest, on_confirmed: Callable[[], None] | None = None
+    ) -> None:
         """Cancel a request at a worker; `on_confirmed` is called when the worker responds, not if the cancel fails."""
-        worker.cancelling[request_id] = asyncio.get_event_loop().create_future()
-        spawn(self._cancel(worker, request_id, on_confirmed))
+        request.unconfirmed_workers.add(worker.name)
+        worker.cancelling[request.id] = asyncio.get_event_loop().create_future()
+        spawn(self._cancel(worker, request, on_confirmed))
+
+    async def confirm_stopped(self, worker: WorkerConnections, request: ForwardedRequest) -> None:
+        """Return once the worker has confirmed that it runs no earlier attempt of the request.
+
+        Waits for the open cancel, if there is one, and cancels again if that one fails. Raises ConnectionBrokenError,
+        with `sent` false, or NoDescriptorError if the worker does not confirm.
+        """
+        await self._open_cancel_ended(worker, request)
+        if worker.name not in request.unconfirmed_workers:
+            return
+        if request.id not in worker.cancelling:
+            self.start(worker, request)
+        outcome = await self._open_cancel_ended(worker, request)
+        if isinstance(outcome.error, NoDescriptorError):
+            raise outcome.error
+        if worker.name in request.unconfirmed_workers:
+            reason = f"the worker may still run an earlier attempt: {outcome.error}"
+            raise ConnectionBrokenError(False, reason) from outcome.error
+        log.info(
+            "earlier_attempt_cancelled",
+            request_id=request.id.decode("latin-1"),
+            worker=worker.name,
+            status=outcome.status,
+        )
+
+    @staticmethod
+    async def _open_cancel_ended(worker: WorkerConnections, request: ForwardedRequest) -> CancelOutcome:
+        """Wait for the end of the open cancel, if there is one, and return its outcome."""
+        future = worker.cancelling.get(request.id)
+        if future is None:
+            return NO_CANCEL
+        await asyncio.wait([future])
+        return future.result()
 
     async def _cancel(
-        self, worker: WorkerConnections, request_id: bytes, on_confirmed: Callable[[], None] | None
+        self, worker: WorkerConnections, request: ForwardedRequest, on_confirmed: Callable[[], None] | None
     ) -> None:
+        outcome = NO_CANCEL
         try:
-            await self._pools.call(worker, b"DELETE", b"/jobs/" + request_id, CANCEL_TIMEOUT_US)
+            response = await self._pools.call(worker, b"DELETE", b"/jobs/" + request.id, CANCEL_TIMEOUT_US)
+            outcome = CancelOutcome(response.status)
+            request.unconfirmed_workers.discard(worker.name)
             if on_confirmed is not None:
                 on_confirmed()
         except ConnectionBrokenError as error:
+            outcome = CancelOutcome(error=error)
             log.info(
                 "cancel_failed",
-                request_id=request_id.decode("latin-1"),
+                request_id=request.id.decode("latin-1"),
                 worker=worker.name,
                 code=error.code,
                 error=str(error),
             )
         finally:
-            worker.cancelling.pop(request_id).set_result(None)
+            worker.cancelling.pop(request.id).set_result(outcome)
--- a/badgerroad/backend/http.py
+++ b/badgerroad/backend/http.py
@@ -7,12 +7,11 @@
 
 from __future__ import annotations
 
-import asyncio
 import socket
 from collections.abc import Callable
 from typing import Any
 
-from badgerroad.backend.attempts import Attempt
+from badgerroad.backend.attempts import Attempt, AttemptPhase
 from badgerroad.backend.cancels import Cancels
 from badgerroad.backend.health_checks import HealthChecks
 from badgerroad.backend.job_events import JobEvents
@@ -108,8 +107,12 @@
         except ConnectionBrokenError as error:
             if not attempt.ended:
                 log.info("attempt_broken", **attempt.log_fields, code=error.code, error=str(error))
+                if error.sent:
+                    attempt.mark_unconfirmed()
             self._end(attempt, interface.AttemptResult.RESET if error.sent else interface.AttemptResult.CONNECT_FAILED)
         except Exception:
+            if not attempt.ended and attempt.written:
+                attempt.mark_unconfirmed()
             self._end(attempt, interface.AttemptResult.RESET)
             raise
         finally:
@@ -118,12 +121,10 @@
     async def _run_attempt(
         self, attempt: Attempt, worker: WorkerConnections, deadline: int, accept_timeout: int
     ) -> None:
-        request_id = attempt.forwarded.id
-        # Wait until the cancel of the request's earlier attempt at this worker has ended.
-        while request_id in worker.cancelling and not attempt.ended:
-            await asyncio.wait([worker.cancelling[request_id]])
-        if attempt.ended:
-            return
+        if attempt.worker in attempt.forwarded.unconfirmed_workers:
+            await self._cancels.confirm_stopped(worker, attempt.forwarded)
+            if attempt.ended:
+                return
         connection = await self.pools.checkout(worker, attempt.on_connecting)
         if attempt.ended:
             self.pools.checkin(worker, connection)
@@ -202,26 +203,28 @@
         self._give_up(attempt, interface.AttemptResult.CANCELLED)
 
     def _give_up(self, attempt: Attempt, result: interface.AttemptResult) -> None:
-        """Stop waiting for an attempt: close its connection before the 202, cancel its job after it.
+        """Stop waiting for an attempt: cancel its job if the worker has it, else close the connection.
 
-        A 202 still unread on the socket counts as received: its worker has finished the exchange, so closing the
-        connection would not stop the job.
+        A request that is sent without an acknowledgement may still be accepted by the worker, before it notices the
+        close. Most such jobs matter to nobody, so a cancel is sent only before a further attempt there.
         """
         if attempt.ended:
             return
         connection = attempt.connection
-        accept_unread = attempt.written and connection is not None and connection.peer_has_sent()
+        phase = attempt.phase
         worker = attempt.connections
-        if (attempt.accepted or accept_unread) and worker is not None and attempt.forwarded.id not in worker.cancelling:
+        if phase is AttemptPhase.ACKNOWLEDGED and worker is not None and attempt.forwarded.id not in worker.cancelling:
             # Without hedging, two attempts of a request must never run at once, so this attempt ends only when its
             # worker has confirmed the cancel.
             awaits_confirmation = result == interface.AttemptResult.CANCELLED and not self.settings.hedging_allowed
             on_confirmed = (
                 (lambda: self._end(attempt, interface.AttemptResult.CANCELLED)) if awaits_confirmation else None
             )
-            self._cancels.start(worker, attempt.forwarded.id, on_confirmed)
+            self._cancels.start(worker, attempt.forwarded, on_confirmed)
             if awaits_confirmation:
                 return
+        elif phase is AttemptPhase.SENT:
+            attempt.mark_unconfirmed()
         self._end(attempt, result)
         if connection is not None:
             connection.close()
--- a/badgerroad/backend/worker_connections.py
+++ b/badgerroad/backend/worker_connections.py
@@ -5,10 +5,11 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from typing import NamedTuple
 
 from badgerroad.load_balancing import interface
 from badgerroad.net import http1
-from badgerroad.net.call_connection import CallConnection, NoDescriptorError
+from badgerroad.net.call_connection import CallConnection, ConnectionBrokenError, NoDescriptorError
 from badgerroad.net.connection import Address
 from badgerroad.net.descriptor_budget import DescriptorBudget
 from badgerroad.net.timer_wheel import Timer, TimerWheel
@@ -22,6 +23,13 @@
 ConnectionSuccessor = Callable[[int, str, Address, int], bool]
 
 
+class CancelOutcome(NamedTuple):
+    """The end of a cancel: the status of the worker's response, or the error that prevented a response."""
+
+    status: int = 0
+    error: ConnectionBrokenError | None = None
+
+
 class WorkerConnections:
     """One worker: its address, its idle connections (the most recently used last) and its cancels in progress."""
 
@@ -30,7 +38,7 @@
         self.name = name
         self.address = address
         self.idle: list[tuple[CallConnection, Timer]] = []
-        self.cancelling: dict[bytes, asyncio.Future[None]] = {}
+        self.cancelling: dict[bytes, asyncio.Future[CancelOutcome]] = {}
 
     @property
     def authority(self) -> str:
--- a/badgerroad/hot_restart/request_transfer.py
+++ b/badgerroad/hot_restart/request_transfer.py
@@ -1,9 +1,11 @@
 """Transfers an open request to another process of the dispatcher.
 
-The copy holds the request as forwarded, its attempts, and the dispatch policy's state of it. A request can be moved
-once each of its attempts has ended or has been accepted by its worker with a 202: from then on the worker reports on
-the attempt by job events, which arrive at the process that listens. Times are sent as differences from the present
-time, since the clocks of two processes need not agree.
+The copy holds the request as forwarded, its attempts, the workers that may still run an ended attempt, and the dispatch
+policy's state of it. A request can be moved once each of its attempts has ended or has been accepted by its worker with
+a 202: from then on the worker reports on the attempt by job events, which arrive at the process that listens. It cannot
+be moved while a cancel is open, which could otherwise reach the worker after the other process's next attempt.
+
+Times are sent as differences from the present time, since the clocks of two processes need not agree.
 """
 
 from __future__ import annotations
@@ -41,6 +43,7 @@
         request.admitted
         and not request.exchange.answered
         and all(attempt.ended or attempt.accepted and attempt.connection is None for attempt in request.attempts)
+        and not any(attempt.has_open_cancel for attempt in request.attempts)
     )
 
 
@@ -59,6 +62,7 @@
         "hint": request.work_hint,
         "slots": request.slots,
         "attempts": [_attempt_fields(attempt, now) for attempt in request.attempts],
+        "unconfirmed": sorted(forwarded.unconfirmed_workers),
         "job": state.export_request(dispatcher.decisions, request.number, now),
     }
     return RequestCopy(fields, forwarded.body)
@@ -105,12 +109,20 @@
         if not attempt.ended:
             request.open_attempts += 1
             dispatcher.backend.resume_attempt(attempt, attempt_fields["left"])
+    forwarded.unconfirmed_workers.update(_unconfirmed_workers(fields, request))
     dispatcher.register_request(request)
     dispatcher.perform_actions(
         state.import_request(dispatcher.decisions, request.number, request_class, fields["job"], now)
     )
 
 
+def _unconfirmed_workers(fields: dict[str, Any], request: OpenRequest) -> list[str]:
+    """Return the workers that may still run an ended attempt: all that were sent one, if an older version wrote the
+    fields."""
+    tried = [attempt.worker for attempt in request.attempts if attempt.ended and not attempt.not_sent]
+    return list(fields.get("unconfirmed", tried))
+
+
 def _restore_forwarded_request(fields: dict[str, Any], body: bytes, now: int) -> ForwardedRequest:
     method, target, request_id = (fields[name].encode("latin-1") for name in ("method", "target", "id"))
     headers = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in fields["headers"]]
--- a/badgerroad/net/call_connection.py
+++ b/badgerroad/net/call_connection.py
@@ -88,6 +88,11 @@
         self._report_sent()  # usually the data has already been written to the socket
         return await self._response
 
+    @property
+    def response_received(self) -> bool:
+        """Whether the response of the last call has been read, even if the caller has not resumed yet."""
+        return self._response is None
+
     def _report_sent(self) -> None:
         if self._on_sent is not None and self.all_written:
             on_sent = self._on_sent
