A request without an answer at its deadline gets the policy's answer, also after a stall

Callers saw 504 in place of 503 with Retry-After for a request whose time ended in or just after a stall of the event loop of over 100 ms, among them those of the last 50 ms before SIGKILL.

Cause: after a stall, timers that await a peer wait 25 ms more, so that what lies on the sockets is read first. All timers of the policy count as such, also the one that answers a request in time; the dispatcher's own deadline timer does not, and answered 504 first.

Change: one rule for both. The deadline timer passes the request to the policy (event RequestOverdue), which rejects or fails it as it always does; 504 is left for a request that the policy does not know. No answer becomes later.

Evidence: a new test blocks the loop for 0, 60, 150 and 300 ms before the deadline: on the code before, 300 ms gives 504 (1 failed, 3 passed); now all give 503.

--- a/badgerroad/dispatcher/core.py
+++ b/badgerroad/dispatcher/core.py
@@ -49,7 +49,12 @@
         self._active = ActiveSettings(config.settings)
         self._extensions = Extensions()
         self._shutdown = ShutdownDeadline(wheel.clock)
-        self._requests = OpenRequests(wheel, self._extensions, counts)
+        self._requests = OpenRequests(
+            wheel,
+            self._extensions,
+            counts,
+            lambda request: self._host.handle_event(interface.RequestOverdue(request.number)),
+        )
         self._host = DecisionHost(self.decisions, wheel.clock, self._extensions, self._requests.fail_internally)
         self.open_requests = self._requests.by_number
         self.requests_by_id = self._requests.by_id
--- a/badgerroad/dispatcher/open_requests.py
+++ b/badgerroad/dispatcher/open_requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from badgerroad import request_log
@@ -17,13 +18,21 @@
 class OpenRequests:
     """Owns requests from their registration to their release, and counts them."""
 
-    def __init__(self, wheel: TimerWheel, extensions: Extensions, counts: Counters | None) -> None:
-        """Start without requests. `counts` is None if no admin listener serves them."""
+    def __init__(
+        self,
+        wheel: TimerWheel,
+        extensions: Extensions,
+        counts: Counters | None,
+        on_overdue: Callable[[OpenRequest], None],
+    ) -> None:
+        """Start without requests. `counts` is None if no admin listener serves them. `on_overdue` is called for a
+        request without an answer at its deadline, and may answer it."""
         self.by_number: dict[int, OpenRequest] = {}
         self.by_id: dict[bytes, OpenRequest] = {}
         self._wheel = wheel
         self._extensions = extensions
         self._counts = counts
+        self._on_overdue = on_overdue
         self._last_number = 0
 
     def next_number(self) -> int:
@@ -48,16 +57,19 @@
         )
 
     def register(self, request: OpenRequest, tick_us: int) -> None:
-        """Register a request, which guarantees it an answer: a timer answers 504 one tick before its deadline if it has
-        not been answered by then."""
+        """Register a request, which guarantees it an answer: one tick before its deadline, a request that has none is
+        passed to `on_overdue`, and answered with 504 if it has none after that."""
         self.by_number[request.number] = request
         self.by_id[request.forwarded.id] = request
         if self._counts:
             self._counts.request_admitted()
         time_left_us = request.forwarded.deadline - self._wheel.clock.now() - tick_us
-        request.deadline_timer = self._wheel.after(
-            max(time_left_us, 0), lambda: self.answer(request, 504, b"out of time\n")
-        )
+        request.deadline_timer = self._wheel.after(max(time_left_us, 0), lambda: self._out_of_time(request))
+
+    def _out_of_time(self, request: OpenRequest) -> None:
+        if not request.exchange.answered:
+            self._on_overdue(request)
+        self.answer(request, 504, b"out of time\n")
 
     def answer(self, request: OpenRequest, status: int, body: bytes, headers: http1.Headers | None = None) -> None:
         """Answer a request unless it has been answered. All answers to registered requests go through this method."""
--- a/badgerroad/load_balancing/interface.py
+++ b/badgerroad/load_balancing/interface.py
@@ -154,6 +154,12 @@
     request: int
 
 
+class RequestOverdue(NamedTuple):
+    """Event: the request's time is nearly over and it has no answer, as after a stall of the host's event loop."""
+
+    request: int
+
+
 class HealthCheckResult(NamedTuple):
     """Event: a health check ended; `result` is an `AttemptResult`."""
 
@@ -189,6 +195,7 @@
     | StreamStarted
     | AttemptEnded
     | ClientDisconnected
+    | RequestOverdue
     | HealthCheckResult
     | SettingsChanged
     | PeerMessage
--- a/badgerroad/load_balancing/policy/dispatch.py
+++ b/badgerroad/load_balancing/policy/dispatch.py
@@ -73,6 +73,7 @@
             interface.AttemptEnded: self._attempt_ended,
             interface.StreamStarted: self._stream_started,
             interface.ClientDisconnected: self._client_disconnected,
+            interface.RequestOverdue: self._request_overdue,
             interface.HealthCheckResult: self.estimates.learn_load_report,
             interface.SettingsChanged: self._settings_changed,
         }
@@ -180,6 +181,11 @@
                 cancel_attempts(self.context, request, request.attempts)
             self.answers.finish(request)
 
+    def _request_overdue(self, event: interface.RequestOverdue) -> None:
+        request = self.requests.get(event.request)
+        if request:
+            self.answers.reject_or_fail(request)
+
     def _stream_started(self, event: interface.StreamStarted) -> None:
         """Finish the request: its client is receiving the answer, so no other answer is due."""
         request = self.requests.get(event.request)
--- a/tests/dispatcher/test_serve.py
+++ b/tests/dispatcher/test_serve.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+import time
 
 import pytest
 
@@ -166,6 +167,21 @@
         assert (await w.ask(job("r2"), late))[0] == 503  # just before SIGKILL
 
 
+@pytest.mark.parametrize("stall_s", [0.0, 0.06, 0.15, 0.3])
+@async_test
+async def test_a_stall_just_before_the_deadline_does_not_change_the_answer(stall_s):
+    """After a stall of the event loop the policy's timers fire later than the dispatcher's own deadline timer."""
+    async with World(accept_without_events) as w:
+        await until(lambda: w.dispatcher.ready)
+        answer = w.begin(w.ask(job("r1", "preview", 200)))
+        await until(lambda: w.dispatcher.open_requests and w.dispatcher.open_requests[1].attempts[0].accepted)
+        await asyncio.sleep(0.1)
+        time.sleep(stall_s)
+        status, head, _ = await answer
+        assert status == 503
+        assert b"Retry-After" in head
+
+
 @async_test
 async def test_near_the_descriptor_limit_connections_without_a_request_yet_are_closed_first(monkeypatch):
     monkeypatch.setattr(frontend_client, "MIN_IDLE_BEFORE_EVICTION_US", 0)
