A further attempt avoids workers that may still run an earlier attempt of the request

Callers waited for up to 1 s for the confirmation of a cancel although another worker could have had the request at once.

Cause: the policy left out the workers of the last attempt and of attempts in flight only; a worker whose attempt was cancelled, timed out or broke earlier was chosen like any other, and the attempt there now waits for a DELETE.

Change: workers with such an attempt are left out if there are others.

--- a/badgerroad/load_balancing/policy/selection.py
+++ b/badgerroad/load_balancing/policy/selection.py
@@ -1,5 +1,6 @@
 """Selects the worker for a request by the LC* algorithm with the changes listed in docs/design.md."""
 
+from .. import interface
 from ..decision_context import DecisionContext
 from ..hint_statistics import HintStatistics
 from ..pending_requests import PendingRequest
@@ -46,6 +47,11 @@
 MAX_DELAYED_EXCESS_SENDS = 3
 """Number of requests beyond the known slots of a machine type that had to wait, after which no more are sent to it."""
 
+MAY_STILL_RUN = frozenset(
+    (interface.AttemptResult.CANCELLED, interface.AttemptResult.TIMEOUT, interface.AttemptResult.RESET)
+)
+"""Results after which the worker may not have ended the attempt."""
+
 Rank = tuple[float, float]
 
 
@@ -149,18 +155,23 @@
     def _eligible(request: PendingRequest, workers: list[Worker]) -> list[Worker]:
         """Return the workers of the required machine type, without those of the last attempt and of attempts in flight.
 
-        A worker with a long request of this dispatcher in flight gets no second long request.
+        A worker with a long request of this dispatcher in flight gets no second long request. Workers that may still
+        run an earlier attempt are left out if there are others, since a further attempt there has to wait for a cancel.
         """
         attempts = request.attempts
         tried = [attempt.worker for attempt in attempts if not attempt.result or attempt is attempts[-1]]
         machine_type = request.request_class.machine_type
-        return [
+        eligible = [
             worker
             for worker in workers
             if machine_type in (-1, worker.info.machine_type)
             and worker not in tried
             and not (request.is_long and worker.long_in_flight)
         ]
+        if len(attempts) < 2:
+            return eligible
+        unconfirmed = [attempt.worker for attempt in attempts if attempt.result in MAY_STILL_RUN]
+        return [worker for worker in eligible if worker not in unconfirmed] or eligible
 
     def _rank(self, request: PendingRequest, worker: Worker, prefers_busy: bool) -> Rank | None:
         """Return the worker's rank for the request, lower is better; None if the worker must not get it."""
--- a/tests/load_balancing/test_retries.py
+++ b/tests/load_balancing/test_retries.py
@@ -157,3 +157,27 @@
     driver.start(1, 0, worker)
     assert not [a for a in driver.advance(5 * SEC) if isinstance(a, interface.Cancel)]
     assert driver.policy.workers[worker].consecutive_failures == 1
+
+
+@pytest.mark.parametrize(
+    "result",
+    [interface.AttemptResult.CANCELLED, interface.AttemptResult.TIMEOUT, interface.AttemptResult.RESET],
+)
+@pytest.mark.parametrize("seed", range(10))
+def test_a_retry_avoids_workers_that_may_still_run_an_earlier_attempt_if_there_are_others(result, seed):
+    """A further attempt at such a worker waits until the worker has confirmed a cancel."""
+    driver = Driver(workers=4, cls=IDEMPOTENT_CLASS, seed=seed, max_attempts=4)
+    tried = []
+    actions = driver.request(1)
+    for attempt in range(4):
+        ((_, worker),) = sends(actions)
+        tried.append(worker)
+        actions = driver.end(1, attempt, worker, result)
+    assert sorted(tried) == ["w0", "w1", "w2", "w3"]
+
+
+def test_a_retry_goes_to_a_worker_that_may_still_run_an_earlier_attempt_if_there_is_no_other():
+    driver = Driver(workers=2, cls=IDEMPOTENT_CLASS, max_attempts=3)
+    ((_, first),) = sends(driver.request(1))
+    ((_, second),) = sends(driver.end(1, 0, first, interface.AttemptResult.CANCELLED))
+    assert sends(driver.end(1, 1, second, interface.AttemptResult.CANCELLED)) == [(1, first)]
