Without hedging, an attempt closed before its 202 is cancelled before the next one

Callers whose settings forbid two attempts at once saw a request run at two workers at the same time.

A second cancel of an attempt whose first cancel was open ended it without a confirmation too.

Change: without hedging, an attempt that was sent and not acknowledged is closed and cancelled with DELETE, and ends when the worker has answered or after 300 ms (CLOSE_CONFIRMATION_TIMEOUT_US); a cancel while a cancel is open waits for that one.

--- a/badgerroad/backend/attempts.py
+++ b/badgerroad/backend/attempts.py
@@ -59,6 +59,7 @@
         "accepted",
         "ended",
         "not_sent",
+        "awaits_cancel",
         "connections",
         "timeout_timer",
         "connection",
@@ -80,6 +81,7 @@
         self.accepted = False  # the worker has responded with 202
         self.ended = False
         self.not_sent = False
+        self.awaits_cancel = False  # given up and closed, but its worker has yet to confirm that it does not run
         self.opened_connection = False  # no idle connection was available, so a new one was opened
         self.started_at = 0  # when the start of the job was reported
         self.status = 0  # HTTP status of the worker's response if it is not 202
--- a/badgerroad/backend/cancels.py
+++ b/badgerroad/backend/cancels.py
@@ -16,6 +16,12 @@
 CANCEL_TIMEOUT_US = 1_000_000
 NO_CANCEL = CancelOutcome()
 
+CancelEndedCallback = Callable[[CancelOutcome], None]
+
+
+def ignore_outcome(outcome: CancelOutcome) -> None:
+    """Do nothing at the end of a cancel whose outcome is awaited, or matters only to a further attempt."""
+
 
 class Cancels:
     """Cancels jobs at workers.
@@ -27,13 +33,11 @@
         """Send cancels on connections from `pools`."""
         self._pools = pools
 
-    def start(
-        self, worker: WorkerConnections, request: ForwardedRequest, on_confirmed: Callable[[], None] | None = None
-    ) -> None:
-        """Cancel a request at a worker; `on_confirmed` is called when the worker responds, not if the cancel fails."""
+    def start(self, worker: WorkerConnections, request: ForwardedRequest, on_ended: CancelEndedCallback) -> None:
+        """Cancel a request at a worker; `on_ended` is called when the worker has responded or the cancel has failed."""
         request.unconfirmed_workers.add(worker.name)
         worker.cancelling[request.id] = asyncio.get_event_loop().create_future()
-        spawn(self._cancel(worker, request, on_confirmed))
+        spawn(self._cancel(worker, request, on_ended))
 
     async def confirm_stopped(self, worker: WorkerConnections, request: ForwardedRequest) -> None:
         """Return once the worker has confirmed that it runs no earlier attempt of the request.
@@ -45,7 +49,7 @@
         if worker.name not in request.unconfirmed_workers:
             return
         if request.id not in worker.cancelling:
-            self.start(worker, request)
+            self.start(worker, request, ignore_outcome)
         outcome = await self._open_cancel_ended(worker, request)
         if isinstance(outcome.error, NoDescriptorError):
             raise outcome.error
@@ -69,15 +73,13 @@
         return future.result()
 
     async def _cancel(
-        self, worker: WorkerConnections, request: ForwardedRequest, on_confirmed: Callable[[], None] | None
+        self, worker: WorkerConnections, request: ForwardedRequest, on_ended: CancelEndedCallback
     ) -> None:
         outcome = NO_CANCEL
         try:
             response = await self._pools.call(worker, b"DELETE", b"/jobs/" + request.id, CANCEL_TIMEOUT_US)
             outcome = CancelOutcome(response.status)
             request.unconfirmed_workers.discard(worker.name)
-            if on_confirmed is not None:
-                on_confirmed()
         except ConnectionBrokenError as error:
             outcome = CancelOutcome(error=error)
             log.info(
@@ -89,3 +91,4 @@
             )
         finally:
             worker.cancelling.pop(request.id).set_result(outcome)
+            on_ended(outcome)
--- a/badgerroad/backend/http.py
+++ b/badgerroad/backend/http.py
@@ -12,11 +12,11 @@
 from typing import Any
 
 from badgerroad.backend.attempts import Attempt, AttemptPhase
-from badgerroad.backend.cancels import Cancels
+from badgerroad.backend.cancels import Cancels, ignore_outcome
 from badgerroad.backend.health_checks import HealthChecks
 from badgerroad.backend.job_events import JobEvents
 from badgerroad.backend.reports import LoadReport, LoadReportParser
-from badgerroad.backend.worker_connections import ConnectionPools, ConnectionSuccessor, WorkerConnections
+from badgerroad.backend.worker_connections import CancelOutcome, ConnectionPools, ConnectionSuccessor, WorkerConnections
 from badgerroad.load_balancing import interface
 from badgerroad.net import http1, logs
 from badgerroad.net.background_tasks import spawn
@@ -31,6 +31,10 @@
 # responded within this time has failed or is unreachable, which may happen without the connection being closed.
 ACCEPT_TIMEOUT_US = 300_000
 
+# How long a worker may take to confirm that it does not run an attempt that was closed before its response. A worker
+# that takes longer has failed or is unreachable, so it most likely has not accepted the attempt either.
+CLOSE_CONFIRMATION_TIMEOUT_US = 300_000
+
 AttemptEndedCallback = Callable[[Attempt, str, LoadReport, bytes], None]
 
 
@@ -105,6 +109,8 @@
             # The result is not CONNECT_FAILED, which would count against a healthy worker.
             self._end(attempt, interface.AttemptResult.NOT_NEEDED)
         except ConnectionBrokenError as error:
+            if attempt.awaits_cancel:
+                return  # this process has closed the connection
             if not attempt.ended:
                 log.info("attempt_broken", **attempt.log_fields, code=error.code, error=str(error))
                 if error.sent:
@@ -206,29 +212,54 @@
         """Stop waiting for an attempt: cancel its job if the worker has it, else close the connection.
 
         A request that is sent without an acknowledgement may still be accepted by the worker, before it notices the
-        close. Most such jobs matter to nobody, so a cancel is sent only before a further attempt there.
+        close. With hedging, most such jobs matter to nobody, so a cancel is sent only before a further attempt there.
+        Without hedging, two attempts of a request must never run at once, so the attempt ends only when its worker has
+        confirmed the cancel.
         """
         if attempt.ended:
             return
-        connection = attempt.connection
-        phase = attempt.phase
-        worker = attempt.connections
-        if phase is AttemptPhase.ACKNOWLEDGED and worker is not None and attempt.forwarded.id not in worker.cancelling:
-            # Without hedging, two attempts of a request must never run at once, so this attempt ends only when its
-            # worker has confirmed the cancel.
-            awaits_confirmation = result == interface.AttemptResult.CANCELLED and not self.settings.hedging_allowed
-            on_confirmed = (
-                (lambda: self._end(attempt, interface.AttemptResult.CANCELLED)) if awaits_confirmation else None
-            )
-            self._cancels.start(worker, attempt.forwarded, on_confirmed)
+        exclusive = not self.settings.hedging_allowed
+        awaits_confirmation = exclusive and result == interface.AttemptResult.CANCELLED
+        if awaits_confirmation and attempt.written and attempt.has_open_cancel:
+            return  # the end of the open cancel ends the attempt, or the attempt's timeout does
+        phase = AttemptPhase.ENDED if attempt.awaits_cancel else attempt.phase
+        if phase is AttemptPhase.ACKNOWLEDGED and not attempt.has_open_cancel:
+            self._cancel_job(attempt, result, awaits_confirmation)
             if awaits_confirmation:
                 return
         elif phase is AttemptPhase.SENT:
             attempt.mark_unconfirmed()
+            if exclusive:
+                self._close_and_cancel(attempt, result)
+                return
+        connection = attempt.connection
         self._end(attempt, result)
         if connection is not None:
             connection.close()
 
+    def _cancel_job(self, attempt: Attempt, result: interface.AttemptResult, awaits_confirmation: bool) -> None:
+        """Cancel the job of an attempt; with `awaits_confirmation`, the attempt ends once the worker responds."""
+
+        def on_ended(outcome: CancelOutcome) -> None:
+            if outcome.error is None:
+                self._end(attempt, result)
+
+        if attempt.connections is not None:
+            on_cancel_ended = on_ended if awaits_confirmation else ignore_outcome
+            self._cancels.start(attempt.connections, attempt.forwarded, on_cancel_ended)
+
+    def _close_and_cancel(self, attempt: Attempt, result: interface.AttemptResult) -> None:
+        """Close the connection of an attempt that its worker may run, cancel the job, and end the attempt after that.
+
+        The attempt also ends if the worker does not respond in time: the close is then the only way to give it up.
+        """
+        attempt.awaits_cancel = True
+        if attempt.connection is not None:
+            attempt.connection.close()
+        if attempt.connections is not None and not attempt.has_open_cancel:
+            self._cancels.start(attempt.connections, attempt.forwarded, lambda _: self._end(attempt, result))
+        self.timers.after(CLOSE_CONFIRMATION_TIMEOUT_US, lambda: self._end(attempt, result), awaits_peer=True)
+
     def _not_accepted(self, attempt: Attempt, worker: WorkerConnections) -> None:
         """Give up an attempt that its worker has not accepted within the accept timeout."""
         connection = attempt.connection
