A cancel whose connection ends is repeated; a job event keeps a closed attempt open

Callers whose settings forbid two attempts at once could still see two at once: if the cancel of a closed attempt failed, the attempt ended as if the worker did not run it, even if a job event had come meanwhile.

Cause: any end of the cancel ended the attempt.

Change: a cancel that fails by the end of its connection is sent once more at once (DELETE has no further effect); an attempt with a job event ends only by a confirmed cancel or its own timeout.

--- a/badgerroad/backend/cancels.py
+++ b/badgerroad/backend/cancels.py
@@ -75,20 +75,27 @@
     async def _cancel(
         self, worker: WorkerConnections, request: ForwardedRequest, on_ended: CancelEndedCallback
     ) -> None:
-        outcome = NO_CANCEL
-        try:
-            response = await self._pools.call(worker, b"DELETE", b"/jobs/" + request.id, CANCEL_TIMEOUT_US)
-            outcome = CancelOutcome(response.status)
+        outcome = await self._call_worker(worker, request.id)
+        if outcome.error is not None and outcome.error.sent and not outcome.timed_out:
+            # The worker may have ended an idle connection just then. A repeated cancel has no other effect.
+            outcome = await self._call_worker(worker, request.id)
+        if outcome.error is None:
             request.unconfirmed_workers.discard(worker.name)
+        worker.cancelling.pop(request.id).set_result(outcome)
+        on_ended(outcome)
+
+    async def _call_worker(self, worker: WorkerConnections, request_id: bytes) -> CancelOutcome:
+        clock = self._pools.timers.clock
+        started_at = clock.now()
+        try:
+            response = await self._pools.call(worker, b"DELETE", b"/jobs/" + request_id, CANCEL_TIMEOUT_US)
         except ConnectionBrokenError as error:
-            outcome = CancelOutcome(error=error)
             log.info(
                 "cancel_failed",
-                request_id=request.id.decode("latin-1"),
+                request_id=request_id.decode("latin-1"),
                 worker=worker.name,
                 code=error.code,
                 error=str(error),
             )
-        finally:
-            worker.cancelling.pop(request.id).set_result(outcome)
-            on_ended(outcome)
+            return CancelOutcome(error=error, timed_out=clock.now() - started_at >= CANCEL_TIMEOUT_US)
+        return CancelOutcome(response.status)
--- a/badgerroad/backend/http.py
+++ b/badgerroad/backend/http.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from badgerroad.backend.attempts import Attempt, AttemptPhase
-from badgerroad.backend.cancels import Cancels, ignore_outcome
+from badgerroad.backend.cancels import NO_CANCEL, Cancels, ignore_outcome
 from badgerroad.backend.health_checks import HealthChecks
 from badgerroad.backend.job_events import JobEvents
 from badgerroad.backend.reports import LoadReport, LoadReportParser
@@ -251,14 +251,20 @@
     def _close_and_cancel(self, attempt: Attempt, result: interface.AttemptResult) -> None:
         """Close the connection of an attempt that its worker may run, cancel the job, and end the attempt after that.
 
-        The attempt also ends if the worker does not respond in time: the close is then the only way to give it up.
+        The attempt also ends if the worker does not respond in time: the close is then the only way to give it up. But
+        if a job event shows that the worker runs it, only a confirmed cancel or the attempt's timeout ends it.
         """
+
+        def end_unless_running(outcome: CancelOutcome = NO_CANCEL) -> None:
+            if outcome.status or not attempt.event_received:
+                self._end(attempt, result)
+
         attempt.awaits_cancel = True
         if attempt.connection is not None:
             attempt.connection.close()
         if attempt.connections is not None and not attempt.has_open_cancel:
-            self._cancels.start(attempt.connections, attempt.forwarded, lambda _: self._end(attempt, result))
-        self.timers.after(CLOSE_CONFIRMATION_TIMEOUT_US, lambda: self._end(attempt, result), awaits_peer=True)
+            self._cancels.start(attempt.connections, attempt.forwarded, end_unless_running)
+        self.timers.after(CLOSE_CONFIRMATION_TIMEOUT_US, end_unless_running, awaits_peer=True)
 
     def _not_accepted(self, attempt: Attempt, worker: WorkerConnections) -> None:
         """Give up an attempt that its worker has not accepted within the accept timeout."""
--- a/badgerroad/backend/worker_connections.py
+++ b/badgerroad/backend/worker_connections.py
@@ -24,10 +24,14 @@
 
 
 class CancelOutcome(NamedTuple):
-    """The end of a cancel: the status of the worker's response, or the error that prevented a response."""
+    """The end of a cancel: the status of the worker's response, or the error that prevented a response.
+
+    `timed_out`: the worker did not respond in time.
+    """
 
     status: int = 0
     error: ConnectionBrokenError | None = None
+    timed_out: bool = False
 
 
 class WorkerConnections:
--- a/tests/backend/test_unconfirmed_attempts.py
+++ b/tests/backend/test_unconfirmed_attempts.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 import random
 from collections import Counter
 
@@ -51,9 +52,12 @@
 
 
 def methods(peer):
-    """Return the methods of the messages that a worker has received, without health checks."""
-    received = [head.split()[0].decode() for head, _ in peer.received]
-    return [method for method in received if method != "GET"]
+    """Return the methods of the messages that a worker has received, without health checks.
+
+    A cancel whose connection has ended is repeated at once; the two count as one.
+    """
+    received = [head.split()[0].decode() for head, _ in peer.received if not head.startswith(b"GET")]
+    return [method for method, group in itertools.groupby(received)]
 
 
 async def open_request(w):
@@ -70,13 +74,13 @@
     return request.attempts[-1]
 
 
-async def expect_cancel_before_second_run(w, worker, request, methods_at_worker=("POST", "DELETE", "POST")):
+async def expect_cancel_before_second_run(w, worker, request):
     """Send a further attempt to the worker, and check that it begins only after the worker has confirmed a cancel."""
     worker.accepting.set()
     further = send_further_attempt(w.dispatcher, request)
     await until(lambda: further.accepted or further.ended)
     assert worker.most_at_once == 1
-    assert methods(w.hosts[0]) == list(methods_at_worker)
+    assert methods(w.hosts[0]) == ["POST", "DELETE", "POST"]
     assert further.accepted
 
 
@@ -160,7 +164,7 @@
         await until(lambda: methods(w.hosts[0]) == ["POST", "DELETE"])
         await until(lambda: not w.dispatcher.backend.workers["h0"].cancelling)
         worker.cancel_response = lambda: reply(200)
-        await expect_cancel_before_second_run(w, worker, request, ("POST", "DELETE", "DELETE", "POST"))
+        await expect_cancel_before_second_run(w, worker, request)
 
 
 @pytest.mark.parametrize("cancel_response", [lambda: None, never_answered], ids=["reset", "unanswered"])
@@ -276,6 +280,36 @@
         assert sorted([methods(w.hosts[0])[:2], methods(w.hosts[1])[:2]], key=len)[1] == ["POST", "DELETE"]
 
 
+@async_test
+async def test_without_hedging_an_event_during_the_cancel_keeps_the_attempt_until_the_worker_confirms():
+    workers = CountingWorker(), CountingWorker()
+    for worker in workers:
+        worker.cancel_response = never_answered
+    async with World(*workers, permissions=WITHOUT_HEDGING) as w:
+        w.begin(w.ask(job()))
+        await until(lambda: w.dispatcher.open_requests and w.dispatcher.open_requests[1].attempts)
+        (attempt,) = w.dispatcher.open_requests[1].attempts
+        await until(lambda: attempt.awaits_cancel)
+        assert await w.call_back("r1", "started", attempt.worker) == 200
+        await asyncio.sleep(2 * CLOSE_CONFIRMATION_TIMEOUT_US / 1e6)
+        assert not attempt.ended
+        assert len(w.dispatcher.open_requests[1].attempts) == 1
+
+
+@async_test
+async def test_a_cancel_whose_connection_ends_is_repeated_at_once():
+    worker = CountingWorker()
+    worker.accepting.set()
+    responses = [None, reply(200)]
+    worker.cancel_response = lambda: responses.pop(0)
+    async with World(worker) as w:
+        request = await open_request(w)
+        await until(lambda: request.attempts[0].accepted)
+        w.dispatcher.backend.cancel_attempt(request.attempts[0])
+        await until(lambda: not worker.running["r1"])
+        assert not responses
+
+
 @async_test
 async def test_without_hedging_a_second_cancel_of_an_attempt_waits_for_the_confirmation_too():
     worker = CountingWorker()
@@ -400,4 +434,5 @@
             for _ in range(60):
                 await order.step()
                 assert worker.most_at_once == 1
-        assert not hedging or len(methods(w.hosts[0])) > 2
+        jobs_and_cancels = [head for head, _ in w.hosts[0].received if not head.startswith(b"GET")]
+        assert not hedging or len(jobs_and_cancels) > 2
