--- a/badgerroad/emulator/live/wire.py
+++ b/badgerroad/emulator/live/wire.py
@@ -74,7 +74,6 @@
         """Create a closed listener. `make_protocol` returns the protocol of an accepted connection."""
         self.loop, self.make_protocol, self.port = loop, make_protocol, 0
         self._server: asyncio.Server | None = None
-        self._opening: asyncio.Task[None] | None = None
 
     async def open(self) -> None:
         """Start listening, at the previous port if there was one."""
--- a/badgerroad/emulator/virtual.py
+++ b/badgerroad/emulator/virtual.py
@@ -42,7 +42,6 @@
         trace: Trace | None = None,
     ) -> None:
         """`make_policy` creates the decision module of each dispatcher."""
-        self.attempts: dict[tuple[str, str, int], tuple[Machine, OpenRequest, Attempt]] = {}
         super().__init__(scenario, seed, folder, lambda world: VirtualTier(world, make_policy), trace=trace)
 
     def send_answer(self, client_try: Try, outcome: str, retry_after: int) -> None:
