Backend: docstrings of two nested functions, and a plainer one of the attempt's phase

Cause: two nested functions had no docstring, and one phase was described by a withdrawn word. Change: docstrings only.

--- a/badgerroad/backend/attempts.py
+++ b/badgerroad/backend/attempts.py
@@ -18,7 +18,7 @@
     SENT = "sent"
     """The last byte has been written and nothing has come back: the worker may run the attempt or not."""
     ACKNOWLEDGED = "acknowledged"
-    """The worker has responded, sent a job event or ended the connection: it runs the attempt unless told otherwise."""
+    """The worker has responded, sent a job event or ended the connection: it runs the attempt until it is cancelled."""
     ENDED = "ended"
 
 
--- a/badgerroad/backend/http.py
+++ b/badgerroad/backend/http.py
@@ -241,6 +241,7 @@
         """Cancel the job of an attempt; with `awaits_confirmation`, the attempt ends once the worker responds."""
 
         def on_ended(outcome: CancelOutcome) -> None:
+            """End the attempt if the worker has responded to the cancel."""
             if outcome.error is None:
                 self._end(attempt, result)
 
@@ -256,6 +257,7 @@
         """
 
         def end_unless_running(outcome: CancelOutcome = NO_CANCEL) -> None:
+            """End the attempt after a confirmed cancel, or if no job event shows that the worker runs it."""
             if outcome.status or not attempt.event_received:
                 self._end(attempt, result)
 
