--- a/review/stand_ins/case.py
+++ b/review/stand_ins/case.py
@@ -12,6 +12,7 @@
 
 BROKEN, HELD, COULD_NOT_RUN = 1, 0, 2
 TIME_LIMIT_S = 110
+LOGGED_LINES = 40  # of a dispatcher's log, if the case could not run
 
 
 class Case:
@@ -24,6 +25,12 @@
         self.folder = ""
         self.dispatchers = []
 
+    def keep_logs(self):
+        """Record the end of each dispatcher's log, whose folder is about to be removed."""
+        for log in sorted(Path(self.folder).glob("*.log")):
+            lines = log.read_text(errors="replace").splitlines()[-LOGGED_LINES:]
+            self.record.add("log", file=log.name, lines=lines)
+
     async def end(self):
         """End all dispatchers of the case."""
         for dispatcher in self.dispatchers:
@@ -34,6 +41,9 @@
     try:
         async with asyncio.timeout(TIME_LIMIT_S):
             return await scenario(case)
+    except Exception:
+        case.keep_logs()
+        raise
     finally:
         await case.end()
 
