Connections: a peer that sends without a pause no longer holds the event loop

Cause: a read of bytes that have already arrived is complete when it is started, and awaiting it does not suspend the task. Connection.read, its two loops that discard bytes, and PeerConnection.run of the fleet therefore kept the event loop as long as the peer sent; no timer fired either.

Change: such a read lets the event loop run once before its result is used. This works for any amount and any peer, as it limits what a peer gets in one iteration of the loop, and a read that has to wait is unchanged.

--- a/badgerroad/net/connection.py
+++ b/badgerroad/net/connection.py
@@ -1,7 +1,7 @@
 """The base class of all TCP connections: one descriptor, a buffer for each direction, one reader and one writer.
 
 A read is always pending unless the receive buffer is full, so a close by the peer is noticed immediately, also on idle
-connections.
+connections. The event loop runs between two reads, so a peer that sends without a pause cannot hold it.
 """
 
 from __future__ import annotations
@@ -14,6 +14,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from badgerroad.net.descriptor_budget import DescriptorBudget
+from badgerroad.net.fairness import completed_read
 from badgerroad.net.http1 import BODY_LIMIT, HEADER_LIMIT, MESSAGE_LIMIT, BadMessageError, Message, Parser
 from badgerroad.net.ring_buffer import RingBuffer
 
@@ -100,7 +101,7 @@
                     continue
                 space: Any = self.receive_buffer.writable()  # tornado accepts it, though its type hints are narrower
                 self._pending_read = asyncio.ensure_future(self.stream.read_into(space, partial=True))
-                count = await self._pending_read
+                count = await completed_read(self._pending_read)
                 self._pending_read = None
                 self.receive_buffer.commit(count)
                 self.process_messages()
@@ -118,7 +119,7 @@
     async def _make_space(self) -> None:
         """With a full receive buffer, discard what the peer sends, or stop reading until there is space."""
         if self.discard_when_full():
-            self.on_discarded(await self.stream.read_into(_DISCARD_BUFFER, partial=True))
+            self.on_discarded(await self._discard())
             return
         self._space_available.clear()
         self._paused = True
@@ -128,10 +129,14 @@
     async def _discard_until_closed(self) -> None:
         while self.lingering and not self.closed:
             try:
-                await self.stream.read_into(_DISCARD_BUFFER, partial=True)
+                await self._discard()
             except StreamClosedError:
                 self.close()
 
+    async def _discard(self) -> int:
+        """Read and discard bytes, and return their number. Raises StreamClosedError."""
+        return await completed_read(self.stream.read_into(_DISCARD_BUFFER, partial=True))
+
     def process_messages(self) -> None:
         """Pass the complete messages to `on_message`, one at a time. Raises BadMessageError."""
         while not self.closed and not self.lingering and self.wants_message():
--- a/tests/fleet/test_connections.py
+++ b/tests/fleet/test_connections.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import time
 from random import Random
 
 import msgspec
@@ -18,6 +19,7 @@
 from badgerroad.fleet.errors import FrameError
 from badgerroad.fleet.framing import LENGTH_BYTES, FrameReader, frame
 from badgerroad.fleet.messages import MAX_MESSAGE_BYTES, VERSION, Claim, Hello, NotOwner, OwnerAnnouncement, encode
+from tests.support import full_speed_peer
 
 
 @given(st.lists(st.binary(max_size=40), max_size=8), st.data())
@@ -124,6 +126,25 @@
         assert later.messages[0][1] == ANNOUNCEMENT
 
 
+@asynchronous
+async def test_a_peer_that_sends_at_full_speed_does_not_hold_the_event_loop():
+    """Guards against a read loop that never yields while its socket has data: the process did nothing else then."""
+    hello = frame(encode(Hello(VERSION, "d", "z", fleet_connections.ROLE_DISPATCHER, 1)))
+    async with Network("a") as network:
+        a = network.controller("a")
+        parameters = full_speed_peer.Parameters(
+            hello.decode("latin-1"), frame(encode(ANNOUNCEMENT)).decode("latin-1"), network.addresses["a"][1]
+        )
+        longest, previous_at = 0.0, time.monotonic()
+        async with full_speed_peer.running(parameters) as (peer, _):
+            while peer.result is None:
+                await asyncio.sleep(0.02)
+                longest = max(longest, time.monotonic() - previous_at)
+                previous_at = time.monotonic()
+        assert a.messages
+        assert longest < 1.0
+
+
 @asynchronous
 async def test_first_message_is_queued_until_connected_and_an_unreachable_peer_is_reported_lost():
     async with Network("a", "b") as network:
