Ring buffer: bytes that were taken are never read again in place of new ones

Cause: a read is pending on the memory behind the buffered bytes while ClientConnection.resume parses what has arrived. RingBuffer.skip moved the start of a buffer that became empty to 0, the read wrote behind the old end, and commit counted its bytes from 0 on, where the old request lay.

Change: skip leaves the end of the bytes in place. The start of an empty buffer moves to 0 only in writable, which begins the next read; no read can be pending there.

Tests of net, frontend, hot_restart and project: 257 passed.

--- a/badgerroad/net/ring_buffer.py
+++ b/badgerroad/net/ring_buffer.py
@@ -35,9 +35,15 @@
         return self._count >= self.limit
 
     def writable(self) -> memoryview:
-        """Return the next contiguous free memory, growing a full buffer. It is empty once the limit is reached."""
+        """Return the next contiguous free memory, growing a full buffer. It is empty once the limit is reached.
+
+        A read may fill the memory later and then call `commit`. Until then, bytes may be removed from the buffer, but
+        none added, and `writable` and `shrink` must not be called.
+        """
         if self._count == len(self._data) < self.limit:
             self._resize(min(len(self._data) * 2, self.limit))
+        elif not self._count:
+            self._head = 0  # the whole capacity is contiguous
         size = len(self._data)
         start = (self._head + self._count) % size
         end = size if start >= self._head else self._head
@@ -88,13 +94,16 @@
         return data
 
     def skip(self, count: int) -> None:
-        """Remove the first `count` bytes."""
+        """Remove the first `count` bytes.
+
+        The end of the bytes stays where it is, even if none is left, as a pending read writes to the memory behind it.
+        """
         count = min(count, self._count)
         self._count -= count
-        self._head = (self._head + count) % len(self._data) if self._count else 0
+        self._head = (self._head + count) % len(self._data)
 
     def shrink(self) -> None:
-        """Reduce an empty buffer to its initial capacity. Must not be called while a read into it is pending."""
+        """Reduce an empty buffer to its initial capacity."""
         if not self._count and len(self._data) > self.initial_capacity:
             self._data = bytearray(self.initial_capacity)
             self._head = 0
