Reload: a file short of a key at any level is turned down

Cause: check_reload compared only the first level of keys of the settings. A key missing in a class, a tenant or a section, or at the first level of the file, got its default, and so did one whose value is null.

Evidence: tests/dispatcher/test_incomplete_configuration.py removes each key of a file at every level, and sets each nested one to null: 62 of its 116 cases failed before the change, all pass now.

Change: config_keys compares the keys of the whole file with those of the file in force. Objects of a list are compared by name, so classes and tenants may appear and vanish; one that appears needs the keys that all present ones have. Only the two keys that the protocol lets the settings leave out may vanish. This works because no default is used at a reload any more where the file in force has a value.

Tests of dispatcher, multiprocess, admin, operator_file, project and the fleet's extension: 361 passed.

--- a/badgerroad/config.py
+++ b/badgerroad/config.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from badgerroad.config_keys import KeyTree, key_tree, missing_keys
 from badgerroad.discovery.reader import EndpointListError, EndpointListReader, address_of, empty_wire_list
 from badgerroad.errors import BadgerroadError
 from badgerroad.load_balancing import interface
@@ -41,7 +42,7 @@
     zones: list[str]
     machine_types: list[str]
     admin: Address | None = None  # the address of the admin listener; None if there is no such listener
-    settings_keys: frozenset[str] = frozenset()  # the keys of the object `settings` in the file
+    keys: KeyTree = KeyTree({})  # the keys of the file, to which that of a reload is compared
 
 
 def load(environment: Mapping[str, str]) -> Config:
@@ -50,18 +51,18 @@
 
 
 def reload(environment: Mapping[str, str], present: Config) -> Config:
-    """Load the configuration for a reload that replaces `present`. Raises ConfigError, also for settings that a start
-    would accept: a key of the present settings that is missing may mean that the file is incomplete. PROXY_DISCOVERY
-    dates from the start of the process, so the file's `discovery` takes precedence over it."""
+    """Load the configuration for a reload that replaces `present`. Raises ConfigError, also for a file that a start
+    would accept: a key of the present file that is missing means that the new one is incomplete. PROXY_DISCOVERY dates
+    from the start of the process, so the file's `discovery` takes precedence over it."""
     return check_reload(_read_data(environment), environment, present)
 
 
 def check_reload(data: dict[str, Any], environment: Mapping[str, str], present: Config) -> Config:
     """Check the file's JSON object for a reload, by the rules of `reload`. Raises ConfigError."""
     new = check_config(data, {name: value for name, value in environment.items() if name != "PROXY_DISCOVERY"})
-    missing = present.settings_keys - new.settings_keys
+    missing = sorted(missing_keys(present.keys, new.keys))
     if missing:
-        raise ConfigError(f"settings: {', '.join(sorted(missing))} missing, but present in the settings in force")
+        raise ConfigError(f"{', '.join(missing)}: missing, but present in the configuration in force")
     return new
 
 
@@ -110,7 +111,7 @@
         zones,
         machine_types,
         _address(data, environment, "ops") if environment.get("PROXY_OPS") or "ops" in data else None,
-        frozenset(data["settings"]),
+        key_tree(data),
     )
 
 
--- a/badgerroad/dispatcher/core.py
+++ b/badgerroad/dispatcher/core.py
@@ -161,7 +161,7 @@
             settings=config.settings,
             zones=config.zones,
             machine_types=config.machine_types,
-            settings_keys=config.settings_keys,
+            keys=config.keys,
         )
         self._apply_settings(config)
         self._configure_watch()
