Settings: a class with an idempotency key has to give its group, also at a start

Without the key group, a class whose repeats the workers of one zone or cell drop was run in several, wherever no file in force is compared with: at a start, and in the new process of an upgrade.

Cause: settings_decoder replaced a missing, null or empty group by all, the scope that allows most.

Evidence: two new cases of tests/dispatcher/test_incomplete_configuration.py failed before the change (the file was accepted).

Classes of other semantics don't use the key and may leave it out. A reload now compares the keys before it decodes the settings, so that its error still gives the path of the missing key.

--- a/badgerroad/config.py
+++ b/badgerroad/config.py
@@ -59,11 +59,10 @@
 
 def check_reload(data: dict[str, Any], environment: Mapping[str, str], present: Config) -> Config:
     """Check the file's JSON object for a reload, by the rules of `reload`. Raises ConfigError."""
-    new = check_config(data, {name: value for name, value in environment.items() if name != "PROXY_DISCOVERY"})
-    missing = sorted(missing_keys(present.keys, new.keys))
+    missing = sorted(missing_keys(present.keys, key_tree(data)))
     if missing:
         raise ConfigError(f"{', '.join(missing)}: missing, but present in the configuration in force")
-    return new
+    return check_config(data, {name: value for name, value in environment.items() if name != "PROXY_DISCOVERY"})
 
 
 def _read_data(environment: Mapping[str, str]) -> dict[str, Any]:
--- a/badgerroad/load_balancing/settings_decoder.py
+++ b/badgerroad/load_balancing/settings_decoder.py
@@ -164,13 +164,25 @@
     return interface.RequestClass(
         name=name,
         semantics=SEMANTICS[data["semantics"]],
-        deduplication_scope=data.get("group") or interface.DeduplicationScope.ALL,
+        deduplication_scope=_deduplication_scope(index, data),
         stream=bool(data.get("stream")),
         machine_type=int(_per_class(family, "classKind", index, -1)),
         **values,
     )
 
 
+def _deduplication_scope(index: int, data: Object) -> str:
+    """Return the scope, which only a class with an idempotency key uses and has to give.
+
+    A default could be too wide: a retry would then run again at a worker that does not detect it as a repeat.
+    """
+    if data.get("group"):
+        return str(data["group"])
+    if SEMANTICS[data["semantics"]] == interface.RetrySemantics.IDEMPOTENCY_KEY:
+        raise SettingsError(f"settings: group of class {index} is missing")
+    return interface.DeduplicationScope.ALL
+
+
 def _per_class(family: Object, key: str, index: int, default: float) -> Any:
     """Return the value for a class from a list in `familyInfo`, which may be shorter than the list of classes."""
     values = family.get(key) or []
--- a/tests/dispatcher/test_incomplete_configuration.py
+++ b/tests/dispatcher/test_incomplete_configuration.py
@@ -117,6 +117,19 @@
     assert f"settings.requestClasses[new].{missing}" in error_of_reload(with_classes(new))
 
 
+@pytest.mark.parametrize("value", [None, ""])
+def test_a_class_with_an_idempotency_key_needs_its_group_also_at_a_start(value):
+    """Guards against the widest group as a default, where no file is in force to compare with."""
+    data = copy.deepcopy(DATA)
+    data["settings"]["requestClasses"][1]["group"] = value
+    with pytest.raises(ConfigError, match="group of class 1 is missing"):
+        check_config(data, {})
+    with pytest.raises(ConfigError, match="group of class 1 is missing"):
+        check_config(without("settings.requestClasses[issue].group"), {})
+    data["settings"]["requestClasses"][1]["semantics"] = "retryable"
+    assert check_config(data, {})
+
+
 @async_test
 async def test_a_running_process_keeps_its_settings_and_names_the_missing_key_at_sighup(tmp_path):
     """Guards against the same fault in the whole program: the settings in force stay, and the log names the field."""
