Attempts: a response that never ends is given up 50 ms after the accept timeout

What callers saw: with one worker that sends a response without an end and without a pause, requests got 503 although other workers were idle.

Cause: unread bytes at the accept timeout count as a response that this process was slow to read, so the attempt was left alone and the timeout was not set again.

Change: such an attempt gets 50 ms more, then it is given up as any other. A response that has arrived is read in that time.

--- a/badgerroad/backend/http.py
+++ b/badgerroad/backend/http.py
@@ -31,6 +31,10 @@
 # responded within this time has failed or is unreachable, which may happen without the connection being closed.
 ACCEPT_TIMEOUT_US = 300_000
 
+# How long a response may still take of which bytes are unread when the accept timeout is over. A response that has
+# arrived is read much sooner; one that takes longer may never end.
+UNREAD_RESPONSE_TIMEOUT_US = 50_000
+
 # How long a worker may take to confirm that it does not run an attempt that was closed before its response. A worker
 # that takes longer has failed or is unreachable, so it most likely has not accepted the attempt either.
 CLOSE_CONFIRMATION_TIMEOUT_US = 300_000
@@ -272,8 +276,18 @@
     def _not_accepted(self, attempt: Attempt, worker: WorkerConnections) -> None:
         """Give up an attempt that its worker has not accepted within the accept timeout."""
         connection = attempt.connection
-        if attempt.ended or attempt.event_received or connection is None or connection.peer_has_sent():
-            return  # an unread response means that this process was slow, not the worker
+        if connection is not None and connection.peer_has_sent():
+            # This process was slow to read the response, or the worker sends one that never ends.
+            self.timers.after(
+                UNREAD_RESPONSE_TIMEOUT_US, lambda: self._give_up_unaccepted(attempt, worker), awaits_peer=True
+            )
+        else:
+            self._give_up_unaccepted(attempt, worker)
+
+    def _give_up_unaccepted(self, attempt: Attempt, worker: WorkerConnections) -> None:
+        """Give up an attempt unless its response has been read or a job event shows that the worker has it."""
+        if attempt.ended or attempt.event_received or attempt.connection is None:
+            return
         worker.close_idle()  # probably dead too; a new connection shows sooner whether the worker is reachable
         self._give_up(attempt, interface.AttemptResult.TIMEOUT)
 
