--- a/badgerroad/discovery/discovery_calls.py
+++ b/badgerroad/discovery/discovery_calls.py
@@ -23,7 +23,7 @@
 WIRE_LIST_LIMIT_BYTES = 4 * 1024 * 1024  # a list of 10,000 workers takes 1.4 MB, with long names 2.5 MB
 TARGETS_PATH = b"/api/targets"
 # Open calls, with the newest one. A late call is abandoned when the third one after it begins, except that the oldest
-# is kept for longer: a discovery that needs longer than that for each answer is then still heard.
+# is kept for longer: the answers of a discovery that always needs longer than that still count then.
 MAX_OPEN_CALLS = 4
 OLDEST_CALL_LIMIT_US = 10_000_000
 MICROSECONDS_PER_MILLISECOND = 1000
--- a/badgerroad/discovery/endpoint_watch.py
+++ b/badgerroad/discovery/endpoint_watch.py
@@ -27,7 +27,7 @@
 # discovery time even if it is given up, so a series of changes must not make a call for each.
 MIN_ADDRESS_CHANGE_INTERVAL_US = 1_000_000
 # A complete list that is older than the known one is rejected for this time: the discovery that sent it is behind.
-# After it the list is taken, as discovery may have begun its versions anew.
+# After it the list is accepted, as discovery may have restarted its versions.
 OLDER_LIST_REJECTED_FOR_US = NOTIFICATION_DEADLINE_US
 MAX_LOGGED_WORKERS = 20  # names in one log line
 
--- a/badgerroad/discovery/watch_schedule.py
+++ b/badgerroad/discovery/watch_schedule.py
@@ -4,7 +4,7 @@
 discovery answers when the endpoint list changes or the requested wait ends, or a poll, which it answers at once.
 
 A call that is not answered within its timeout counts as failed, and another call begins beside it. It stays open, as
-its answer may be on its way (`discovery_calls`): a discovery that always needs longer than the timeout is heard too.
+its answer may be on its way (`discovery_calls`): the answers of a discovery that always needs longer count too.
 
 Each change of the endpoint list must be known here within NOTIFICATION_DEADLINE_US of the moment when discovery had it
 and could be reached, even if calls fail in that time. docs/silence.md gives the longest delays for each sequence of
