Connections: the event loop runs after the bytes of a read are parsed, not before

What callers would have seen: let the event loop run between a read that completes at once and the parsing of its bytes. In that iteration the bytes are neither on the socket nor in the parser, so a shutdown could end a new connection whose first request had just been read, with no answer.

Cause: whether a connection may be ended is asked of the socket and of the parser (may_need_response), and these bytes were in neither.

--- a/badgerroad/fleet/peer_connection.py
+++ b/badgerroad/fleet/peer_connection.py
@@ -13,7 +13,7 @@
 from badgerroad.fleet.framing import FrameReader, frame
 from badgerroad.fleet.messages import Hello, MalformedMessageError, Message, Unknown, decode, encode
 from badgerroad.net import logs
-from badgerroad.net.fairness import completed_read
+from badgerroad.net.fairness import Turn
 
 log = logs.get("badgerroad")
 
@@ -76,8 +76,10 @@
             self._expect_frame()
             self.send(frame(encode(self._hello)))
             while not self._is_closed:
-                data = await completed_read(self.stream.read_bytes(READ_BYTES, partial=True))
-                self._read(data)
+                read = self.stream.read_bytes(READ_BYTES, partial=True)
+                turn = Turn(read)
+                self._read(await read)
+                await turn.end()
         except StreamClosedError:
             self.traffic.broken += self._frames.unfinished
         except FrameError as error:
--- a/badgerroad/net/connection.py
+++ b/badgerroad/net/connection.py
@@ -14,7 +14,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from badgerroad.net.descriptor_budget import DescriptorBudget
-from badgerroad.net.fairness import completed_read
+from badgerroad.net.fairness import Turn
 from badgerroad.net.http1 import BODY_LIMIT, HEADER_LIMIT, MESSAGE_LIMIT, BadMessageError, Message, Parser
 from badgerroad.net.ring_buffer import RingBuffer
 
@@ -101,10 +101,12 @@
                     continue
                 space: Any = self.receive_buffer.writable()  # tornado accepts it, though its type hints are narrower
                 self._pending_read = asyncio.ensure_future(self.stream.read_into(space, partial=True))
-                count = await completed_read(self._pending_read)
+                turn = Turn(self._pending_read)
+                count = await self._pending_read
                 self._pending_read = None
                 self.receive_buffer.commit(count)
                 self.process_messages()
+                await turn.end()
         except StreamClosedError:
             last = self.parser.message_at_end()
             if last is not None:
@@ -135,7 +137,11 @@
 
     async def _discard(self) -> int:
         """Read and discard bytes, and return their number. Raises StreamClosedError."""
-        return await completed_read(self.stream.read_into(_DISCARD_BUFFER, partial=True))
+        read = self.stream.read_into(_DISCARD_BUFFER, partial=True)
+        turn = Turn(read)
+        count = await read
+        await turn.end()
+        return count
 
     def process_messages(self) -> None:
         """Pass the complete messages to `on_message`, one at a time. Raises BadMessageError."""
