Shutdown: a request that is read and not parsed yet is not ended without an answer

What callers saw: at the end of a shutdown, the connection of a request whose last bytes had just been read was ended with no answer.

Cause: a read that had to wait completes in one iteration of the event loop and is parsed in the next; in between its bytes are neither unread on the socket nor in the parser, and peer_has_sent and may_need_response looked only there.

Change: has_unprocessed_read counts as something that the peer has sent, for the shutdown, eviction, draining, the reuse of idle worker connections and the admin listener; the limits of a read at a shutdown and of a request wait until it is parsed.

--- a/badgerroad/frontend/client.py
+++ b/badgerroad/frontend/client.py
@@ -20,6 +20,7 @@
 # Time from the first byte of a request to its last; for the first request, it starts with the connection. The protocol
 # requires an error response or a close within 3 s for a client that has not sent a complete request.
 REQUEST_TIMEOUT_US = 2_500_000
+UNPROCESSED_READ_DELAY_US = 1_000  # extends REQUEST_TIMEOUT_US while the last bytes are read and not parsed yet
 MIN_IDLE_BEFORE_EVICTION_US = 500_000  # a connection that was active more recently is not evicted
 # How long an inactive client without a complete request keeps its connection while other clients wait for its
 # descriptor, and how long a client has to notice that its connection has ended. The time is long enough for data in
@@ -175,7 +176,9 @@
         Otherwise either could occupy a descriptor, or delay a drain, forever.
         """
         self._request_timer = None
-        if self.parser.idle:
+        if self.has_unprocessed_read:
+            self._start_request_timer(UNPROCESSED_READ_DELAY_US)
+        elif self.parser.idle:
             self.end_gracefully()
         else:
             self.on_bad_message(http1.BadMessageError(408, "the request stopped halfway"))
--- a/badgerroad/frontend/http.py
+++ b/badgerroad/frontend/http.py
@@ -247,7 +247,7 @@
         if reading_is_over or (backlog_is_empty and not awaited):
             self._listener.close()
         for connection in list(self.connections):
-            if connection.has_pending_response:
+            if connection.has_pending_response or connection.has_unprocessed_read:
                 continue
             if reading_is_over or connection not in awaited:
                 connection.end_gracefully()
--- a/badgerroad/net/connection.py
+++ b/badgerroad/net/connection.py
@@ -164,12 +164,18 @@
 
     @property
     def no_read_in_progress(self) -> bool:
-        """Whether the receive buffer holds all bytes read from the socket, so that no completed read is unprocessed."""
-        return not self._paused and (self._pending_read is None or not self._pending_read.done())
+        """Whether the receive buffer holds all bytes read from the socket."""
+        return not self._paused and not self.has_unprocessed_read
+
+    @property
+    def has_unprocessed_read(self) -> bool:
+        """Whether a read is complete and its bytes are processed in the next iteration of the event loop."""
+        return self._pending_read is not None and self._pending_read.done()
 
     def peer_has_sent(self) -> bool:
-        """Whether data or a close is unread on the socket, even if the event loop has not noticed it yet."""
-        if self.stream.closed():
+        """Whether data or a close is unread on the socket, even if the event loop has not noticed it yet, or has been
+        read and not been processed."""
+        if self.stream.closed() or self.has_unprocessed_read:
             return True
         try:
             self.stream.socket.recv(1, socket.MSG_PEEK)
