Reload: the comparison of the keys ends after 16 levels

Cause: key_tree called itself once a level, without a limit.

Change: deeper levels are not compared; the settings have five.

Result: the test of 20, 400 and 900 levels failed at 900 before and passes; 121 tests of incomplete configurations passed.

--- a/badgerroad/config_keys.py
+++ b/badgerroad/config_keys.py
@@ -10,6 +10,7 @@
 from typing import Any, NamedTuple
 
 OPTIONAL_KEYS = frozenset(("aimStretch", "fleet"))  # the protocol lets the settings leave them out
+MAX_DEPTH = 16  # levels that are compared; a file that is nested far deeper must not exhaust the stack
 UNCOMPARED_KEYS = frozenset(("known",))  # their content is data of the last run, not configuration
 
 
@@ -23,19 +24,20 @@
     is_list: bool = False
 
 
-def key_tree(value: Any) -> KeyTree:
-    """Return the keys of a JSON value."""
-    if isinstance(value, dict):
+def key_tree(value: Any, levels: int = MAX_DEPTH) -> KeyTree:
+    """Return the keys of a JSON value, down to a number of levels."""
+    if isinstance(value, dict) and levels:
         return KeyTree(
             {
-                key: KeyTree({}) if key in UNCOMPARED_KEYS else key_tree(member)
+                key: KeyTree({}) if key in UNCOMPARED_KEYS else key_tree(member, levels - 1)
                 for key, member in value.items()
                 if member is not None
             }
         )
-    if isinstance(value, list):
+    if isinstance(value, list) and levels:
         objects = [(index, entry) for index, entry in enumerate(value) if isinstance(entry, dict)]
-        return KeyTree({str(entry.get("name", index)): key_tree(entry) for index, entry in objects}, is_list=True)
+        trees = {str(entry.get("name", index)): key_tree(entry, levels - 1) for index, entry in objects}
+        return KeyTree(trees, is_list=True)
     return KeyTree({})
 
 
--- a/tests/dispatcher/test_incomplete_configuration.py
+++ b/tests/dispatcher/test_incomplete_configuration.py
@@ -117,6 +117,16 @@
     assert f"settings.requestClasses[new].{missing}" in error_of_reload(with_classes(new))
 
 
+@pytest.mark.parametrize("levels", [20, 400, 900])
+def test_a_file_with_a_deeply_nested_unknown_key_is_accepted(levels):
+    """Guards against a stack overflow in the comparison of the keys."""
+    unknown = {}
+    for _ in range(levels):
+        unknown = {"nested": unknown}
+    data = {**DATA, "unknown": unknown}
+    assert error_of_reload(data) is None
+
+
 @pytest.mark.parametrize("value", [None, ""])
 def test_a_class_with_an_idempotency_key_needs_its_group_also_at_a_start(value):
     """Guards against the widest group as a default, where no file is in force to compare with."""
