Review: an error of the stand-ins counts as a case that could not run

Cause: an exception of a script exited with 1, as a broken rule does; a script ended by SIGTERM left its processes; and the dispatcher's port was drawn before the workers listened, so that one of them could have got it.

--- a/review/stand_ins_2/world.py
+++ b/review/stand_ins_2/world.py
@@ -509,7 +509,7 @@
         self.settings = used_settings
         self.config_path = folder / "config.json"
         self.limits: dict[str, float] = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
-        self.port = free_port()
+        self.port = 0  # of the dispatcher; chosen when all others listen
         self.workers: dict[str, Worker] = {}
         self.discovery = Discovery(self)
         self.dispatchers: list[Dispatcher] = []
@@ -556,6 +556,7 @@
         """Start discovery, write the configuration, and start the first process."""
         (self.folder / "tmp").mkdir(exist_ok=True)
         await self.discovery.listen()
+        self.port = free_port()
         self.write_config()
         await (await self.start_dispatcher()).ready()
 
@@ -670,7 +671,7 @@
                 _keep_logs(Path(temporary), Path(keep))
         code = BROKEN if broken else HELD
         record.add("verdict", result=broken or "the rule held")
-    except (NotRunError, TimeoutError, OSError) as error:
+    except (Exception, asyncio.CancelledError) as error:  # an error of the stand-ins must not count as a broken rule
         record.add("verdict", result=f"the case could not run: {type(error).__name__}: {error}")
     record.write()
     print(record.lines[-1])
@@ -678,6 +679,9 @@
 
 
 async def _limited(case: Case, folder: Path, record: Record, trouble: bool) -> str:
+    task = asyncio.current_task()
+    if task is not None:  # a case that is told to end ends its processes
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     async with asyncio.timeout(110):
         return await case(folder, record, trouble)
 
