Job events: a repeated or late event no longer ends the next attempt at its worker

Cause: a job event names the request and the worker, not the attempt, and is repeated until it is answered. It was applied to whichever attempt was open at that worker, so a repeated `returned` ended the next attempt there as never run. Change: JobEventHistory, owned by the request, says which events its ended attempts at each worker may still cause. An event that may be one of them proves nothing about the open attempt and is logged as job_event_ambiguous; `done` still answers. The history moves with the request in an upgrade; without the field (older versions) every event is expected.

--- a/badgerroad/backend/attempts.py
+++ b/badgerroad/backend/attempts.py
@@ -4,7 +4,9 @@
 
 import enum
 
+from badgerroad.backend.job_event_history import JobEventHistory, states_after
 from badgerroad.backend.worker_connections import WorkerConnections
+from badgerroad.job_states import JobState
 from badgerroad.net import http1
 from badgerroad.net.call_connection import CallConnection
 from badgerroad.net.timer_wheel import Timer
@@ -27,9 +29,10 @@
 
     `deadline` is in microseconds of the clock. `unconfirmed_workers` holds the names of the workers that may still run
     an attempt that has ended here; no further attempt is sent to them until they have answered a `DELETE`.
+    `job_events` tells which job events may still arrive from ended attempts.
     """
 
-    __slots__ = ("id", "method", "target", "headers", "body", "deadline", "unconfirmed_workers")
+    __slots__ = ("id", "method", "target", "headers", "body", "deadline", "unconfirmed_workers", "job_events")
 
     def __init__(
         self, method: bytes, target: bytes, body: bytes, request_id: bytes, headers: http1.Headers, deadline: int
@@ -42,6 +45,7 @@
         self.headers = headers
         self.deadline = deadline
         self.unconfirmed_workers: set[str] = set()
+        self.job_events = JobEventHistory()
 
 
 class Attempt:
@@ -56,6 +60,8 @@
         "written",
         "event_received",
         "started",
+        "progressed",
+        "final_event",
         "accepted",
         "ended",
         "not_sent",
@@ -78,6 +84,8 @@
         self.written = False  # the request has been handed to the connection
         self.event_received = False  # a job event has arrived, before or after the 202
         self.started = False  # a job event has reported the start of the job
+        self.progressed = False  # a job event has reported the progress of the job
+        self.final_event: JobState | None = None  # the job event that has ended the attempt
         self.accepted = False  # the worker has responded with 202
         self.ended = False
         self.not_sent = False
@@ -112,6 +120,28 @@
             return AttemptPhase.ACKNOWLEDGED
         return AttemptPhase.SENT if self.connection.all_written else AttemptPhase.UNSENT
 
+    def is_evidence(self, state: JobState) -> bool:
+        """Whether a job event with `state` of this open attempt's worker shows what has become of the attempt.
+
+        An event that may belong to an earlier attempt at the worker does not show that this one has ended. `done` ends
+        it in any case: the result is one that the worker has made for this request.
+        """
+        if state in (JobState.STARTED, JobState.RUNNING, JobState.DONE):
+            return True
+        if state is JobState.RETURNED and (self.started or self.progressed):
+            return False  # only a job that was not started is handed back
+        return not self.forwarded.job_events.may_be_of_ended_attempt(self.worker, state)
+
+    def record_end(self, sent_completely: bool) -> None:
+        """End the attempt, and record which of its job events may still arrive.
+
+        `sent_completely` is false if the worker has not received the whole request, and so does not run it.
+        """
+        self.ended = True
+        response_ended_it = self.status != 0 and not self.event_received
+        if sent_completely and self.written and not response_ended_it:
+            self.forwarded.job_events.expect(self.worker, states_after(self.final_event))
+
     @property
     def has_open_cancel(self) -> bool:
         """Whether a cancel of the request is open at this attempt's worker."""
--- a/badgerroad/backend/http.py
+++ b/badgerroad/backend/http.py
@@ -17,6 +17,7 @@
 from badgerroad.backend.job_events import JobEvents
 from badgerroad.backend.reports import LoadReport, LoadReportParser
 from badgerroad.backend.worker_connections import CancelOutcome, ConnectionPools, ConnectionSuccessor, WorkerConnections
+from badgerroad.job_states import JobState
 from badgerroad.load_balancing import interface
 from badgerroad.net import http1, logs
 from badgerroad.net.background_tasks import spawn
@@ -192,7 +193,8 @@
         if attempt.ended:
             return
         attempt.not_sent = result == interface.AttemptResult.NOT_SENT
-        self.release_attempt(attempt)
+        attempt.record_end(sent_completely=result != interface.AttemptResult.CONNECT_FAILED)
+        self._remove(attempt)
         self._attempt_ended(attempt, result, load, body)
 
     def release_attempt(self, attempt: Attempt) -> None:
@@ -200,6 +202,9 @@
         if attempt.ended:
             return
         attempt.ended = True
+        self._remove(attempt)
+
+    def _remove(self, attempt: Attempt) -> None:
         del self.attempts[attempt.key]
         if attempt.timeout_timer:
             attempt.timeout_timer.cancel()
@@ -292,7 +297,7 @@
         self._give_up(attempt, interface.AttemptResult.TIMEOUT)
 
     def handle_job_event(self, request_id: bytes, name: str, state: str, event: dict[str, Any]) -> bool:
-        """Apply a job event of worker `name` to its attempt.
+        """Apply a job event of worker `name` to its attempt, unless the event may belong to an earlier attempt.
 
         Returns False if the attempt is not open in this process: the event is a duplicate, the attempt has ended, or
         another process holds it.
@@ -300,7 +305,11 @@
         attempt = self.attempts.get((request_id, name))
         if attempt is None or not attempt.written:
             return False  # the worker cannot know of an attempt that is not written yet
-        self._job_events.apply(attempt, state, event)
+        job_state = JobState(state)
+        if attempt.is_evidence(job_state):
+            self._job_events.apply(attempt, job_state, event)
+        else:
+            log.info("job_event_ambiguous", **attempt.log_fields, state=state)
         return True
 
     def check_health(self, name: str) -> None:
--- a/badgerroad/backend/job_events.py
+++ b/badgerroad/backend/job_events.py
@@ -1,6 +1,7 @@
 """Applies job events, by which a worker reports the progress and the end of a job in a POST to the dispatcher.
 
 An event identifies the request and the worker, not the attempt. It may be repeated and may arrive before the 202.
+`badgerroad.backend.job_event_history` tells which events may belong to an earlier attempt.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 
 from badgerroad.backend.attempts import Attempt
 from badgerroad.backend.reports import LoadReport, LoadReportParser
+from badgerroad.job_states import JobState
 from badgerroad.load_balancing import interface
 from badgerroad.net.timer_wheel import TimerWheel
 
@@ -18,10 +20,10 @@
 LATE_ACCEPT_TIMEOUT_US = 2_000_000
 
 _RESULTS = {
-    "done": interface.AttemptResult.OK,
-    "failed": interface.AttemptResult.ERROR,
-    "returned": interface.AttemptResult.QUEUE_FULL,
-    "lost": interface.AttemptResult.RESET,
+    JobState.DONE: interface.AttemptResult.OK,
+    JobState.FAILED: interface.AttemptResult.ERROR,
+    JobState.RETURNED: interface.AttemptResult.QUEUE_FULL,
+    JobState.LOST: interface.AttemptResult.RESET,
 }
 
 
@@ -50,12 +52,12 @@
         self._raise_event = raise_event
         self._end_attempt = end_attempt
 
-    def apply(self, attempt: Attempt, state: str, event: dict[str, Any]) -> None:
-        """Apply an event with a valid `state` to an attempt whose request has been written."""
+    def apply(self, attempt: Attempt, state: JobState, event: dict[str, Any]) -> None:
+        """Apply an event to an attempt whose request has been written."""
         attempt.event_received = True
-        if state == "started":
+        if state is JobState.STARTED:
             self._started(attempt)
-        elif state == "running":
+        elif state is JobState.RUNNING:
             self._progressed(attempt, float(event.get("share") or 0.0))
         else:
             self._ended(attempt, state, event)
@@ -68,11 +70,13 @@
         self._raise_event(interface.AttemptStarted(attempt.request, attempt.number, attempt.worker))
 
     def _progressed(self, attempt: Attempt, share: float) -> None:
+        attempt.progressed = True
         self._raise_event(interface.AttemptProgressed(attempt.request, attempt.number, attempt.worker, share))
 
-    def _ended(self, attempt: Attempt, state: str, event: dict[str, Any]) -> None:
+    def _ended(self, attempt: Attempt, state: JobState, event: dict[str, Any]) -> None:
+        attempt.final_event = state
         load = self.reports.from_fields(event["load"]) if isinstance(event.get("load"), dict) else None
-        body = _result_body(event.get("result", "")) if state == "done" else b""
+        body = _result_body(event.get("result", "")) if state is JobState.DONE else b""
         connection = attempt.connection
         self._end_attempt(attempt, _RESULTS[state], load, body)
         if connection is not None:
--- a/badgerroad/frontend/job_events.py
+++ b/badgerroad/frontend/job_events.py
@@ -3,25 +3,13 @@
 from __future__ import annotations
 
 import json
-from enum import StrEnum
 from typing import Any
 
 from badgerroad.frontend.exchange import Exchange, RequestHandler
+from badgerroad.job_states import JobState
 from badgerroad.net import http1
 
-
-class JobEventState(StrEnum):
-    """The states of a job that workers report."""
-
-    STARTED = "started"
-    RUNNING = "running"
-    DONE = "done"
-    FAILED = "failed"
-    RETURNED = "returned"
-    LOST = "lost"
-
-
-_STATES = tuple(JobEventState)
+_STATES = tuple(JobState)
 
 
 def handle_job_event(message: http1.Message, exchange: Exchange, handler: RequestHandler) -> None:
@@ -42,6 +30,6 @@
     request_id, worker, state = event["id"], event["from"], event["state"]
     if not (isinstance(request_id, str) and isinstance(worker, str) and state in _STATES):
         raise ValueError("id and from must be strings, and state a known state")
-    if state == JobEventState.RUNNING:
+    if state == JobState.RUNNING:
         float(event.get("share") or 0.0)
     return event
--- a/badgerroad/hot_restart/request_transfer.py
+++ b/badgerroad/hot_restart/request_transfer.py
@@ -1,9 +1,10 @@
 """Transfers an open request to another process of the dispatcher.
 
-The copy holds the request as forwarded, its attempts, the workers that may still run an ended attempt, and the dispatch
-policy's state of it. A request can be moved once each of its attempts has ended or has been accepted by its worker with
-a 202: from then on the worker reports on the attempt by job events, which arrive at the process that listens. It cannot
-be moved while a cancel is open, which could otherwise reach the worker after the other process's next attempt.
+The copy holds the request as forwarded, its attempts, the workers that may still run an ended attempt, the job events
+that ended attempts may still cause, and the dispatch policy's state of it. A request can be moved once each of its
+attempts has ended or has been accepted by its worker with a 202: from then on the worker reports on the attempt by job
+events, which arrive at the process that listens. It cannot be moved while a cancel is open, which could otherwise reach
+the worker after the other process's next attempt.
 
 Times are sent as differences from the present time, since the clocks of two processes need not agree.
 """
@@ -27,7 +28,8 @@
     "opened": "opened_connection",
     "status": "status",
 }
-_OPTIONAL_ATTEMPT_FIELDS = {"unsent": "not_sent"}  # these fields are missing in messages of older versions
+# These fields are missing in messages of older versions.
+_OPTIONAL_ATTEMPT_FIELDS = {"unsent": "not_sent", "progressed": "progressed"}
 
 
 class RequestCopy(NamedTuple):
@@ -63,6 +65,7 @@
         "slots": request.slots,
         "attempts": [_attempt_fields(attempt, now) for attempt in request.attempts],
         "unconfirmed": sorted(forwarded.unconfirmed_workers),
+        "events": forwarded.job_events.to_fields(),
         "job": state.export_request(dispatcher.decisions, request.number, now),
     }
     return RequestCopy(fields, forwarded.body)
@@ -110,6 +113,7 @@
             request.open_attempts += 1
             dispatcher.backend.resume_attempt(attempt, attempt_fields["left"])
     forwarded.unconfirmed_workers.update(_unconfirmed_workers(fields, request))
+    _restore_job_events(fields, request)
     dispatcher.register_request(request)
     dispatcher.perform_actions(
         state.import_request(dispatcher.decisions, request.number, request_class, fields["job"], now)
@@ -123,6 +127,16 @@
     return list(fields.get("unconfirmed", tried))
 
 
+def _restore_job_events(fields: dict[str, Any], request: OpenRequest) -> None:
+    """Restore which job events ended attempts may still cause: any, if an older version wrote the fields."""
+    if "events" in fields:
+        request.forwarded.job_events.add_fields(fields["events"])
+        return
+    for attempt in request.attempts:
+        if attempt.ended and not attempt.not_sent:
+            attempt.record_end(sent_completely=True)
+
+
 def _restore_forwarded_request(fields: dict[str, Any], body: bytes, now: int) -> ForwardedRequest:
     method, target, request_id = (fields[name].encode("latin-1") for name in ("method", "target", "id"))
     headers = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in fields["headers"]]
