Hot restart: a job event that the old process has applied is not applied again by the new one

Cause: the new process passes a job event of an unknown request to the old one and retains a copy. When the request arrived, it applied the copy too, to whichever attempt was open by then. Change: each end of the channel counts the job events it receives; the message with a request carries the count (field `handled`), and only retained events beyond it are applied.

--- a/badgerroad/hot_restart/connection_transfer.py
+++ b/badgerroad/hot_restart/connection_transfer.py
@@ -75,7 +75,7 @@
         if request is None or not request_transfer.can_move(request):
             return False
         copy, body = request_transfer.copy(self._dispatcher, request)
-        message = messages.ClientConnection(connection, copy, len(body))
+        message = messages.ClientConnection(connection, copy, len(body), recipient.job_events_received)
         if not recipient.try_send(message, body + data, descriptor):
             return False
         self._forget_passed(request)
@@ -92,7 +92,9 @@
         message = messages.WorkerConnection(worker, address, idle_us)
         return recipient is not None and recipient.try_send(message, b"", descriptor)
 
-    def adopt_client(self, sock: socket.socket, message: messages.ClientConnection, payload: bytes) -> None:
+    def adopt_client(
+        self, sock: socket.socket, message: messages.ClientConnection, payload: bytes, sender: PeerProcess
+    ) -> None:
         """Take over a client's connection, with its open request if it has one."""
         dispatcher, request = self._dispatcher, message.request
         body, data = payload[: message.body_length], payload[message.body_length :]
@@ -108,7 +110,7 @@
             data,
             lambda connection: request_transfer.restore(dispatcher, request, body, connection),
         )
-        for event in self._unmatched.for_request(request_id):
+        for event in self._unmatched.for_request(request_id, sender, message.job_events_handled):
             dispatcher.backend.handle_job_event(event.request_id, event.worker, event.state, event.item)
 
     def adopt_worker_connection(self, sock: socket.socket, message: messages.WorkerConnection) -> None:
--- a/badgerroad/hot_restart/messages.py
+++ b/badgerroad/hot_restart/messages.py
@@ -156,16 +156,19 @@
     connection: Head  # the connection's state, as the frontend describes it
     request: dict[str, Any] | None  # the open request, as `hot_restart.request_transfer` describes it
     body_length: int  # length of the open request's body in bytes
+    # Number of job events that the sender has received from the receiver; 0 in messages of earlier releases.
+    job_events_handled: int = 0
 
     def to_head(self) -> Head:
         """See `Message`."""
-        return {**self.connection, "job": self.request, "body": self.body_length}
+        head = {**self.connection, "job": self.request, "body": self.body_length}
+        return {**head, "handled": self.job_events_handled} if self.job_events_handled else head
 
     @classmethod
     def from_head(cls, head: Head) -> Self:
         """See `Message`."""
-        connection = {name: value for name, value in head.items() if name not in ("job", "body", "kind")}
-        return cls(connection, head["job"], head["body"])
+        connection = {name: value for name, value in head.items() if name not in ("job", "body", "handled", "kind")}
+        return cls(connection, head["job"], head["body"], int(head.get("handled", 0)))
 
 
 @dataclass(frozen=True, slots=True)
--- a/badgerroad/hot_restart/peers.py
+++ b/badgerroad/hot_restart/peers.py
@@ -15,7 +15,7 @@
 from badgerroad.load_balancing.policy import DispatchPolicy
 from badgerroad.net.timer_wheel import Timer, TimerWheel
 from badgerroad.net.unix_channel import OnMessage, UnixChannel
-from badgerroad.process_messages import Message
+from badgerroad.process_messages import JobEvent, Message
 
 EventHandler = Callable[[rules.Event], None]  # passes an event to this process's state machine for one peer
 
@@ -40,12 +40,20 @@
         self.attempts = state.PeerAttempts(decisions)  # attempts that the peer has in flight
         self.open_requests: set[bytes] = set()  # ids of the peer's open requests when it sent its grant
         self.reads_lists = False  # whether it understands `messages.ReceivedList`
+        self.job_events_received = 0  # number of job events that it has sent to this process
+        self._job_events_sent = 0
         self._reply_timer: Timer | None = None
 
     def send(self, message: Message, descriptor: int | None = None) -> None:
         """Queue a message. `descriptor` must stay open until the message has been sent."""
         self.channel.send(message.kind, message.to_head(), descriptor)
 
+    def send_job_event(self, event: JobEvent) -> int:
+        """Queue a job event, and return its number among those sent to this peer, from 1."""
+        self.send(event)
+        self._job_events_sent += 1
+        return self._job_events_sent
+
     def try_send(self, message: Message, payload: bytes, descriptor: int) -> bool:
         """Send a message at once or not at all; returns whether it was sent. The caller keeps `descriptor`."""
         return self.channel.try_send(message.kind, message.to_head(), payload, descriptor)
--- a/badgerroad/hot_restart/process.py
+++ b/badgerroad/hot_restart/process.py
@@ -22,7 +22,7 @@
 from badgerroad.hot_restart.descriptor_accounting import DescriptorAccounting
 from badgerroad.hot_restart.peers import EventHandler, PeerProcess, Peers
 from badgerroad.hot_restart.rules import Event, PredecessorState, SuccessorState
-from badgerroad.hot_restart.unmatched_job_events import UnmatchedJobEvents
+from badgerroad.hot_restart.unmatched_job_events import RECEIVED_FROM_PEER, UnmatchedJobEvents
 from badgerroad.net import logs
 from badgerroad.net.connection import Address
 from badgerroad.net.framing import BadPacketError
@@ -189,7 +189,7 @@
             case messages.ReceivedList(discovery, endpoint_list):
                 self._adopt_list(discovery, endpoint_list)
             case messages.ClientConnection() if sock is not None:
-                self._transfer.adopt_client(sock, message, payload)
+                self._transfer.adopt_client(sock, message, payload, sender)
             case messages.WorkerConnection() if sock is not None:
                 self._transfer.adopt_worker_connection(sock, message)
             case _:
@@ -213,10 +213,9 @@
         """Handle a message about an attempt, and relay it to the third process if three processes form a chain."""
         now = self.dispatcher.clock.now()
         match message:
-            case JobEvent(request_id, worker, state, item):
-                if self.dispatcher.backend.handle_job_event(request_id, worker, state, item):
-                    return
-                self._unmatched.retain(message, now)
+            case JobEvent():
+                self._on_job_event(message, sender)
+                return
             case messages.AttemptSent():
                 record_peer_attempt(sender, message, now)
             case messages.AttemptStarted(attempt):
@@ -229,6 +228,16 @@
         if third_process is not None:
             third_process.send(message)
 
+    def _on_job_event(self, event: JobEvent, sender: PeerProcess) -> None:
+        sender.job_events_received += 1
+        if self.dispatcher.backend.handle_job_event(event.request_id, event.worker, event.state, event.item):
+            return
+        numbers = {sender: RECEIVED_FROM_PEER}
+        third_process = self.peers.third_process(sender)
+        if third_process is not None:
+            numbers[third_process] = third_process.send_job_event(event)
+        self._unmatched.retain(event, self.dispatcher.clock.now(), numbers)
+
     # Calls from the dispatcher.
 
     def endpoints_changed(self) -> None:
@@ -265,11 +274,9 @@
         an active peer, the event is dropped.
         """
         event = JobEvent(request_id, host, state, item)
-        active_peers = self.peers.active()
-        if active_peers:
-            self._unmatched.retain(event, self.dispatcher.clock.now())
-        for peer in active_peers:
-            peer.send(event)
+        numbers = {peer: peer.send_job_event(event) for peer in self.peers.active()}
+        if numbers:
+            self._unmatched.retain(event, self.dispatcher.clock.now(), numbers)
 
     # Termination.
 
