Connections: no byte is in a buffer that an upgrade does not pass on

Cause: between two reads Tornado's IOStream took up to 64 KB from the socket into a buffer of its own, which is neither passed to the new process nor seen by no_read_in_progress. Change: SocketStream reads from the socket into the receive buffer and buffers nothing; it replaces IOStream on the connections of clients, workers, discovery and the admin listener. A read is parsed in the same callback, so has_unprocessed_read and no_read_in_progress have no meaning any more. A request's time limit first reads what has arrived. test_connection_endings.py stops the reads of a connection by the new class in place of IOLoop.remove_handler, with the same checks.

--- a/badgerroad/admin/listener.py
+++ b/badgerroad/admin/listener.py
@@ -13,9 +13,9 @@
 from tornado.ioloop import IOLoop
 
 from badgerroad.net import http1
-from badgerroad.net.background_tasks import spawn
-from badgerroad.net.connection import Address, Connection
+from badgerroad.net.connection import Connection
 from badgerroad.net.descriptor_budget import DescriptorBudget
+from badgerroad.net.socket_stream import Address
 from badgerroad.net.timer_wheel import TimerWheel
 
 # Most connections open at one time. Two or three monitoring requests arrive every second; the rest is for idle
@@ -73,7 +73,7 @@
         """Close the connection, or with unread bytes only its writing side, so that the peer gets the response."""
         if self.peer_has_sent() or len(self.receive_buffer):
             try:
-                self.stream.socket.shutdown(socket.SHUT_WR)  # a close with unread bytes would be a reset
+                self.stream.shut_down_writing()  # a close with unread bytes would be a reset
                 return
             except OSError:
                 pass
@@ -135,7 +135,7 @@
                 sock.close()
                 continue
             self.connections[connection] = None
-            spawn(connection.read())
+            connection.start_reading()
 
     def _resume_accepting(self) -> None:
         if self._socket is not None:
--- a/badgerroad/backend/http.py
+++ b/badgerroad/backend/http.py
@@ -22,8 +22,8 @@
 from badgerroad.net import http1, logs
 from badgerroad.net.background_tasks import spawn
 from badgerroad.net.call_connection import CallConnection, ConnectionBrokenError, LocalNetworkError, NoDescriptorError
-from badgerroad.net.connection import Address
 from badgerroad.net.descriptor_budget import DescriptorBudget
+from badgerroad.net.socket_stream import Address
 from badgerroad.net.timer_wheel import TimerWheel
 
 log = logs.get("badgerroad")
--- a/badgerroad/backend/worker_connections.py
+++ b/badgerroad/backend/worker_connections.py
@@ -10,8 +10,8 @@
 from badgerroad.load_balancing import interface
 from badgerroad.net import http1
 from badgerroad.net.call_connection import CallConnection, ConnectionBrokenError, LocalNetworkError, NoDescriptorError
-from badgerroad.net.connection import Address
 from badgerroad.net.descriptor_budget import DescriptorBudget
+from badgerroad.net.socket_stream import Address
 from badgerroad.net.timer_wheel import Timer, TimerWheel
 
 DEFAULT_CONNECT_TIMEOUT_US = 1_000_000
@@ -161,7 +161,6 @@
     def _add_idle(self, worker: WorkerConnections, connection: CallConnection, idle_us: int) -> None:
         if (
             self.successor is not None
-            and connection.no_read_in_progress
             and not connection.peer_has_sent()
             and self.successor(connection.stream.socket.fileno(), worker.name, worker.address, idle_us)
         ):
--- a/badgerroad/config.py
+++ b/badgerroad/config.py
@@ -16,7 +16,7 @@
 from badgerroad.errors import BadgerroadError
 from badgerroad.load_balancing import interface
 from badgerroad.load_balancing.settings_decoder import SettingsError, settings_from
-from badgerroad.net.connection import Address
+from badgerroad.net.socket_stream import Address
 
 
 class ConfigError(BadgerroadError):
--- a/badgerroad/discovery/discovery_calls.py
+++ b/badgerroad/discovery/discovery_calls.py
@@ -14,8 +14,8 @@
 from badgerroad.net import http1, logs
 from badgerroad.net.background_tasks import spawn
 from badgerroad.net.call_connection import CallConnection, ConnectionBrokenError, NoDescriptorError
-from badgerroad.net.connection import Address
 from badgerroad.net.descriptor_budget import DescriptorBudget
+from badgerroad.net.socket_stream import Address
 from badgerroad.net.timer_wheel import Timer, TimerWheel
 
 log = logs.get("badgerroad")
--- a/badgerroad/discovery/endpoint_watch.py
+++ b/badgerroad/discovery/endpoint_watch.py
@@ -13,8 +13,8 @@
 from badgerroad.load_balancing import interface
 from badgerroad.net import logs
 from badgerroad.net.background_tasks import spawn
-from badgerroad.net.connection import Address
 from badgerroad.net.descriptor_budget import DescriptorBudget
+from badgerroad.net.socket_stream import Address
 from badgerroad.net.timer_wheel import TimerWheel
 
 log = logs.get("badgerroad")
--- a/badgerroad/discovery/reader.py
+++ b/badgerroad/discovery/reader.py
@@ -17,7 +17,7 @@
 
 from badgerroad.errors import BadgerroadError
 from badgerroad.load_balancing import interface
-from badgerroad.net.connection import Address
+from badgerroad.net.socket_stream import Address
 
 SLICE_LENGTH = 250  # entries read without yielding to the event loop; reading 10,000 at once would block it for 60 ms
 MICROSECONDS_PER_MILLISECOND = 1000
--- a/badgerroad/dispatcher/core.py
+++ b/badgerroad/dispatcher/core.py
@@ -21,8 +21,8 @@
 from badgerroad.load_balancing.availability import unavailable_workers
 from badgerroad.load_balancing.policy import DispatchPolicy
 from badgerroad.net import logs
-from badgerroad.net.connection import Address
 from badgerroad.net.descriptor_budget import DescriptorBudget
+from badgerroad.net.socket_stream import Address
 from badgerroad.net.timer_wheel import TimerWheel
 from badgerroad.requests import OpenRequest
 
--- a/badgerroad/fleet/connections.py
+++ b/badgerroad/fleet/connections.py
@@ -25,7 +25,7 @@
 from badgerroad.fleet.rules.actions import Peer
 from badgerroad.net import logs
 from badgerroad.net.background_tasks import spawn
-from badgerroad.net.connection import Address
+from badgerroad.net.socket_stream import Address
 
 log = logs.get("badgerroad")
 
--- a/badgerroad/fleet/dialer.py
+++ b/badgerroad/fleet/dialer.py
@@ -11,7 +11,7 @@
 
 from badgerroad.fleet.peer_connection import PeerConnection
 from badgerroad.net import logs
-from badgerroad.net.connection import Address
+from badgerroad.net.socket_stream import Address
 
 log = logs.get("badgerroad")
 
--- a/badgerroad/frontend/client.py
+++ b/badgerroad/frontend/client.py
@@ -6,8 +6,6 @@
 from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
-from tornado.ioloop import IOLoop
-
 from badgerroad.frontend.exchange import Exchange, RequestHandler
 from badgerroad.net import http1, logs
 from badgerroad.net.connection import Connection
@@ -20,7 +18,6 @@
 # Time from the first byte of a request to its last; for the first request, it starts with the connection. The protocol
 # requires an error response or a close within 3 s for a client that has not sent a complete request.
 REQUEST_TIMEOUT_US = 2_500_000
-UNPROCESSED_READ_DELAY_US = 1_000  # extends REQUEST_TIMEOUT_US while the last bytes are read and not parsed yet
 MIN_IDLE_BEFORE_EVICTION_US = 500_000  # a connection that was active more recently is not evicted
 # How long an inactive client without a complete request keeps its connection while other clients wait for its
 # descriptor, and how long a client has to notice that its connection has ended. The time is long enough for data in
@@ -175,10 +172,12 @@
 
         Otherwise either could occupy a descriptor, or delay a drain, forever.
         """
+        expired = self._request_timer
+        self.read_available()  # the last bytes may have arrived just now
+        if self.closed or self.lingering or self._request_timer is not expired:
+            return
         self._request_timer = None
-        if self.has_unprocessed_read:
-            self._start_request_timer(UNPROCESSED_READ_DELAY_US)
-        elif self.parser.idle:
+        if self.parser.idle:
             self.end_gracefully()
         else:
             self.on_bad_message(http1.BadMessageError(408, "the request stopped halfway"))
@@ -221,7 +220,7 @@
         elif self.exchange is None and self._closing:
             self.end_gracefully()
         elif self.exchange is None:
-            IOLoop.current().add_callback(self.resume)
+            self.resume()
 
     def resume(self) -> None:
         """Continue with the pipelined request and the bytes received after it."""
@@ -253,7 +252,7 @@
             return
         self._cancel_request_timer()
         self.lingering = True
-        self._space_available.set()
+        self.update_reading()
         self.last_activity_at = self.owner.timers.clock.now()
         self.owner.timers.after(LINGER_TIME_US, self.close)
         if self.all_written:
@@ -261,7 +260,7 @@
 
     def _shut_down_writing(self) -> None:
         try:
-            self.stream.socket.shutdown(socket.SHUT_WR)
+            self.stream.shut_down_writing()
         except OSError:
             self.close()
 
@@ -297,7 +296,7 @@
     def _can_be_passed(self) -> bool:
         if self.closed or self.lingering or self._closing and self.exchange is None:
             return False
-        return self.all_written and self.no_read_in_progress
+        return self.all_written
 
     def _state(self) -> dict[str, Any]:
         """The state that `restore` needs in another process; the keys are fields of the inter-process message."""
--- a/badgerroad/frontend/http.py
+++ b/badgerroad/frontend/http.py
@@ -11,9 +11,8 @@
 from badgerroad.frontend.exchange import Exchange, RequestHandler
 from badgerroad.frontend.listener import Listener, open_socket
 from badgerroad.net import http1
-from badgerroad.net.background_tasks import spawn
-from badgerroad.net.connection import Address
 from badgerroad.net.descriptor_budget import DescriptorBudget
+from badgerroad.net.socket_stream import Address
 from badgerroad.net.timer_wheel import TimerWheel
 
 # When this process ends, how long it still reads bytes that have arrived on its connections. Clients then have the same
@@ -88,7 +87,7 @@
     def _on_accepted(self, sock: socket.socket) -> None:
         connection = self._add_connection(sock)
         if connection is not None:
-            spawn(connection.read())
+            connection.start_reading()
 
     def _add_connection(self, sock: socket.socket) -> ClientConnection | None:
         """Return the new connection, or None if the socket has already been closed by its peer."""
@@ -175,7 +174,7 @@
             connection.close()  # otherwise the client would wait on a connection that nobody reads
             raise
         if not connection.closed:
-            spawn(connection.read())
+            connection.start_reading()
 
     def yield_to(self, successor: ConnectionSuccessor) -> None:
         """Stop accepting, as another process receives the new requests; the listener stays open.
@@ -247,7 +246,7 @@
         if reading_is_over or (backlog_is_empty and not awaited):
             self._listener.close()
         for connection in list(self.connections):
-            if connection.has_pending_response or connection.has_unprocessed_read:
+            if connection.has_pending_response:
                 continue
             if reading_is_over or connection not in awaited:
                 connection.end_gracefully()
--- a/badgerroad/frontend/listener.py
+++ b/badgerroad/frontend/listener.py
@@ -10,7 +10,7 @@
 
 from badgerroad.net import logs
 from badgerroad.net.call_connection import NoDescriptorError
-from badgerroad.net.connection import Address
+from badgerroad.net.socket_stream import Address
 from badgerroad.net.timer_wheel import TimerWheel
 
 log = logs.get("badgerroad")
--- a/badgerroad/hot_restart/actions.py
+++ b/badgerroad/hot_restart/actions.py
@@ -17,7 +17,7 @@
 from badgerroad.hot_restart.rules import Action, PredecessorState
 from badgerroad.load_balancing import state
 from badgerroad.net import logs
-from badgerroad.net.connection import Address
+from badgerroad.net.socket_stream import Address
 from badgerroad.net.timer_wheel import TimerWheel
 
 log = logs.get("badgerroad")
--- a/badgerroad/hot_restart/connection_transfer.py
+++ b/badgerroad/hot_restart/connection_transfer.py
@@ -12,7 +12,7 @@
 from badgerroad.hot_restart.descriptor_accounting import DescriptorAccounting
 from badgerroad.hot_restart.peers import PeerProcess, Peers
 from badgerroad.hot_restart.unmatched_job_events import UnmatchedJobEvents
-from badgerroad.net.connection import Address
+from badgerroad.net.socket_stream import Address
 from badgerroad.net.timer_wheel import TimerWheel
 from badgerroad.requests import OpenRequest
 
--- a/badgerroad/hot_restart/process.py
+++ b/badgerroad/hot_restart/process.py
@@ -24,8 +24,8 @@
 from badgerroad.hot_restart.rules import Event, PredecessorState, SuccessorState
 from badgerroad.hot_restart.unmatched_job_events import RECEIVED_FROM_PEER, UnmatchedJobEvents
 from badgerroad.net import logs
-from badgerroad.net.connection import Address
 from badgerroad.net.framing import BadPacketError
+from badgerroad.net.socket_stream import Address
 from badgerroad.net.timer_wheel import TimerWheel
 from badgerroad.net.unix_channel import UnixSocketPath
 from badgerroad.process_messages import JobEvent
--- a/badgerroad/multiprocess/supervisor.py
+++ b/badgerroad/multiprocess/supervisor.py
@@ -26,7 +26,7 @@
 from badgerroad.multiprocess.startup import ProcessIndex
 from badgerroad.net import logs
 from badgerroad.net.background_tasks import spawn
-from badgerroad.net.connection import Address
+from badgerroad.net.socket_stream import Address
 from badgerroad.net.timer_wheel import Clock, Timer, TimerWheel
 from badgerroad.net.unix_channel import UnixChannel
 from badgerroad.process_messages import Message
--- a/badgerroad/net/call_connection.py
+++ b/badgerroad/net/call_connection.py
@@ -7,13 +7,11 @@
 import socket
 from collections.abc import Callable
 
-from tornado.iostream import StreamClosedError
-
 from badgerroad.errors import BadgerroadError
-from badgerroad.net.background_tasks import spawn
-from badgerroad.net.connection import Address, Connection
+from badgerroad.net.connection import Connection
 from badgerroad.net.descriptor_budget import DescriptorBudget
 from badgerroad.net.http1 import BODY_LIMIT, BadMessageError, Message
+from badgerroad.net.socket_stream import Address
 
 # Errors of `socket` and `connect` that concern this machine, mostly for a moment: it lacks a descriptor, a buffer, a
 # local port or a route.
@@ -88,24 +86,26 @@
         )
         self.reusable = sock is not None
         if sock is not None:
-            spawn(self.read())
+            self.start_reading()
 
     async def connect(self, address: Address) -> None:
         """Connect to `address`. Raises LocalNetworkError or another ConnectionBrokenError, with `sent` false."""
         self.address = address
         try:
             await self.stream.connect(address)
-        except (StreamClosedError, OSError) as error:
+        except OSError as error:
+            if self.closed:
+                reason = "connection closed by this process while connecting"
+                raise ConnectionBrokenError(False, reason) from error
             self.close()
-            cause = self.stream.error or error
-            reason = f"cannot connect: {cause}"
-            if isinstance(cause, OSError) and cause.errno in LOCAL_ERRORS:
+            reason = f"cannot connect: {error}"
+            if error.errno in LOCAL_ERRORS:
                 raise LocalNetworkError(False, reason) from error
             raise ConnectionBrokenError(False, reason) from error
         if self.closed:
             raise ConnectionBrokenError(False, "connection closed by this process while connecting")
         self.reusable = True
-        spawn(self.read())
+        self.start_reading()
 
     async def call(self, data: bytes, on_sent: Callable[[], None] | None = None) -> Message:
         """Send a request and return its response.
@@ -170,5 +170,5 @@
         response_begun = self.response_begun
         future = self._take_response_future()
         if future is not None:
-            reason = f"connection ended before the response: {self.stream.error or 'closed'}"
+            reason = f"connection ended before the response: {self.error or 'closed'}"
             future.set_exception(ConnectionBrokenError(self.all_written, reason, response_begun))
--- a/badgerroad/net/connection.py
+++ b/badgerroad/net/connection.py
@@ -1,24 +1,25 @@
-"""The base class of all TCP connections: one descriptor, a buffer for each direction, one reader and one writer.
+"""The base class of all TCP connections: one descriptor, a buffer for each direction, and the messages in them.
 
-A read is always pending unless the receive buffer is full, so a close by the peer is noticed immediately, also on idle
-connections. The event loop runs between two reads, so a peer that sends without a pause cannot hold it.
+The socket is always watched for bytes unless the receive buffer is full, so a close by the peer is noticed immediately,
+also on idle connections. The event loop runs between two reads, so a peer that sends without a pause cannot hold it.
+All bytes that have been read are in the receive buffer or the parser; all others are still on the socket.
 """
 
 from __future__ import annotations
 
 import asyncio
-import select
 import socket
-from typing import Any
-
-from tornado.iostream import IOStream, StreamClosedError
 
+from badgerroad.net import logs
 from badgerroad.net.descriptor_budget import DescriptorBudget
-from badgerroad.net.fairness import Turn
 from badgerroad.net.http1 import BODY_LIMIT, HEADER_LIMIT, MESSAGE_LIMIT, BadMessageError, Message, Parser
 from badgerroad.net.ring_buffer import RingBuffer
+from badgerroad.net.socket_stream import SocketStream
+
+log = logs.get("badgerroad")
 
-Address = tuple[str, int]
+# Most reads of `read_available`; more than a receive buffer needs to grow to its limit and fill up.
+_MAX_READS_AT_ONCE = 16
 # Target of reads whose bytes are discarded, shared by all connections. A small buffer would cost many loop iterations.
 _DISCARD_BUFFER = bytearray(64 * 1024)
 
@@ -31,117 +32,148 @@
     def __init__(
         self, sock: socket.socket, descriptors: DescriptorBudget, responses: bool, body_limit: int = BODY_LIMIT
     ) -> None:
-        """Take ownership of `sock`.
+        """Take ownership of `sock`, unless OSError is raised.
 
         `responses` is true if the peer sends responses rather than requests; `body_limit` is in bytes.
         """
+        self.stream = SocketStream(sock)
         self.descriptors = descriptors
         descriptors.used += 1
-        self.stream = IOStream(sock)
-        self.stream.set_nodelay(True)
         self.receive_buffer = RingBuffer(HEADER_LIMIT + body_limit)
         self.send_buffer = RingBuffer(2 * MESSAGE_LIMIT)
         self.parser = Parser(self.receive_buffer, responses, body_limit)
         self.closed = False
-        self._flushing_bytes = 0  # number of bytes of the send buffer that the stream is writing now
-        self._write: asyncio.Future[None] | None = None
-        self._pending_read: asyncio.Future[int] | None = None
-        self._paused = False
-        self._space_available = asyncio.Event()
+        self.error: OSError | None = None  # the error of the socket that has ended the connection
+        self._reports_written = False  # `on_written` is due in the next iteration of the event loop
+
+    # Writing.
 
     @property
     def all_written(self) -> bool:
-        """Whether the last byte passed to `send` has been written to the socket."""
-        if not len(self.send_buffer):
-            return True
-        # The write may be complete although `_on_flushed` has not run yet, so the future is checked.
-        done = self._write is not None and self._write.done() and not self._write.exception()
-        return done and self._flushing_bytes == len(self.send_buffer)
+        """Whether the kernel has taken the last byte passed to `send`."""
+        return not len(self.send_buffer)
 
     def send(self, data: bytes) -> None:
-        """Queue `data` for writing; no effect on a closed connection.
+        """Write `data`, and queue what the kernel does not take at once; no effect on a closed connection.
 
         Raises ValueError if the send buffer cannot hold it.
         """
         if self.closed:
             return
-        self.send_buffer.put(data)
-        if not self._flushing_bytes:
-            self._flush()
-
-    def _flush(self) -> None:
-        view = self.send_buffer.readable()
-        self._flushing_bytes = len(view)
-        try:
-            self._write = self.stream.write(view)
-        except StreamClosedError:
-            self.close()
-            return
-        self._write.add_done_callback(self._on_flushed)
-
-    def _on_flushed(self, future: asyncio.Future[None]) -> None:
-        if future.exception() or self.closed:
-            self.close()
+        if not self.all_written:
+            self.send_buffer.put(data)
             return
-        self.send_buffer.skip(self._flushing_bytes)
-        self._flushing_bytes = 0
-        if len(self.send_buffer):
-            self._flush()
+        count = self._write(data)
+        if count == len(data):
+            self._report_written_soon()
         else:
+            self.send_buffer.put(data[count:])
+            if self.error is None:
+                self.stream.watch_writes(self._on_writable)
+
+    def _write(self, data: bytes | memoryview) -> int:
+        """Write what the kernel takes, and return its length; after an error the connection is closed soon."""
+        try:
+            return self.stream.send(data)
+        except OSError as error:
+            self.error = error
+            self.stream.ignore_writes()
+            asyncio.get_running_loop().call_soon(self.close)  # the caller need not expect that the connection ends
+            return 0
+
+    def _on_writable(self) -> None:
+        self.send_buffer.skip(self._write(self.send_buffer.readable()))
+        if self.all_written:
+            self.stream.ignore_writes()
             self.send_buffer.shrink()
             self.on_written()
 
-    async def read(self) -> None:
-        """Read and process messages until either side ends the connection."""
+    def _report_written_soon(self) -> None:
+        if not self._reports_written:
+            self._reports_written = True
+            asyncio.get_running_loop().call_soon(self._report_written)
+
+    def _report_written(self) -> None:
+        self._reports_written = False
+        if self.all_written and not self.closed:
+            self.on_written()
+
+    # Reading.
+
+    def start_reading(self) -> None:
+        """Read and process messages from now on, until either side ends the connection."""
+        self.update_reading()
+
+    def update_reading(self) -> None:
+        """Read if bytes can be stored or discarded; called whenever that may have changed."""
+        if self.lingering or not self.receive_buffer.full or self.discard_when_full():
+            self.stream.watch_reads(self._on_readable)
+        else:
+            self.stream.ignore_reads()
+
+    def read_available(self) -> None:
+        """Read and process what has arrived, without waiting for the event loop to report it."""
+        for _ in range(_MAX_READS_AT_ONCE):
+            if self.closed or self.lingering or not self.peer_has_sent():
+                return
+            self._on_readable()
+
+    def _on_readable(self) -> None:
+        """Read once, and process the messages that are complete then."""
         try:
-            while not self.closed and not self.lingering:
-                self.receive_buffer.shrink()
-                if self.receive_buffer.full:
-                    await self._make_space()
-                    continue
-                space: Any = self.receive_buffer.writable()  # tornado accepts it, though its type hints are narrower
-                self._pending_read = asyncio.ensure_future(self.stream.read_into(space, partial=True))
-                turn = Turn(self._pending_read)
-                count = await self._pending_read
-                self._pending_read = None
-                self.receive_buffer.commit(count)
-                self.process_messages()
-                await turn.end()
-        except StreamClosedError:
-            last = self.parser.message_at_end()
-            if last is not None:
-                self.on_message(last)
+            if self.lingering:
+                self._discard_after_end()
+            elif self.receive_buffer.full:
+                self._discard_excess()
+            else:
+                self._receive()
         except BadMessageError as error:
             self.on_bad_message(error)
-        finally:
-            if not self.lingering:
-                self.close()
-        await self._discard_until_closed()
-
-    async def _make_space(self) -> None:
+            self._close_unless_lingering()
+        except Exception as error:
+            log.error("unexpected_exception", exc_info=error)
+            self._close_unless_lingering()
+
+    def _receive(self) -> None:
+        count = self._read_into(self.receive_buffer.writable())
+        if count == 0:
+            self._on_end()
+        elif count is not None:
+            self.receive_buffer.commit(count)
+            self.process_messages()
+
+    def _discard_excess(self) -> None:
         """With a full receive buffer, discard what the peer sends, or stop reading until there is space."""
-        if self.discard_when_full():
-            self.on_discarded(await self._discard())
+        if not self.discard_when_full():
+            self.stream.ignore_reads()
             return
-        self._space_available.clear()
-        self._paused = True
-        await self._space_available.wait()
-        self._paused = False
-
-    async def _discard_until_closed(self) -> None:
-        while self.lingering and not self.closed:
-            try:
-                await self._discard()
-            except StreamClosedError:
-                self.close()
-
-    async def _discard(self) -> int:
-        """Read and discard bytes, and return their number. Raises StreamClosedError."""
-        read = self.stream.read_into(_DISCARD_BUFFER, partial=True)
-        turn = Turn(read)
-        count = await read
-        await turn.end()
-        return count
+        count = self._read_into(_DISCARD_BUFFER)
+        if count == 0:
+            self._on_end()
+        elif count is not None:
+            self.on_discarded(count)
+
+    def _discard_after_end(self) -> None:
+        if self._read_into(_DISCARD_BUFFER) == 0:
+            self.close()
+
+    def _read_into(self, memory: memoryview | bytearray) -> int | None:
+        """Read bytes, and return their number: 0 at the end or after an error, None if there are none now."""
+        try:
+            return self.stream.receive_into(memory)
+        except OSError as error:
+            self.error = error
+            return 0
+
+    def _on_end(self) -> None:
+        last = self.parser.message_at_end()
+        if last is not None:
+            self.on_message(last)
+        self._close_unless_lingering()
+
+    def _close_unless_lingering(self) -> None:
+        if not self.lingering:
+            self.close()
 
     def process_messages(self) -> None:
         """Pass the complete messages to `on_message`, one at a time. Raises BadMessageError."""
@@ -150,7 +182,10 @@
             if message is None:
                 break
             self.on_message(message)
-        self._space_available.set()
+        self.receive_buffer.shrink()
+        self.update_reading()
+
+    # Ending the connection.
 
     def close(self) -> None:
         """Close the socket and release its descriptor; the only place that does so. Later calls have no effect."""
@@ -159,46 +194,17 @@
         self.closed = True
         self.descriptors.used -= 1
         self.stream.close()
-        self._space_available.set()
         self.on_closed()
 
-    @property
-    def no_read_in_progress(self) -> bool:
-        """Whether the receive buffer holds all bytes read from the socket."""
-        return not self._paused and not self.has_unprocessed_read
-
-    @property
-    def has_unprocessed_read(self) -> bool:
-        """Whether a read is complete and its bytes are processed in the next iteration of the event loop."""
-        return self._pending_read is not None and self._pending_read.done()
-
     def peer_has_sent(self) -> bool:
-        """Whether data or a close is unread on the socket, even if the event loop has not noticed it yet, or has been
-        read and not been processed."""
-        if self.stream.closed() or self.has_unprocessed_read:
-            return True
-        try:
-            self.stream.socket.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            pass  # a reset counts as a close
-        return True
+        """Whether data or a close is unread on the socket, even if the event loop has not noticed it yet."""
+        return self.stream.peer_has_sent()
 
     def peer_has_closed(self) -> bool:
         """Whether the peer has closed its side, even if unread bytes precede the close."""
-        if self.closed or self.stream.closed():
-            return True
-        try:
-            if not self.stream.socket.recv(1, socket.MSG_PEEK):
-                return True
-        except BlockingIOError:
-            return False  # the peer is connected but has sent nothing that is unread
-        except OSError:
-            return True
-        poll = select.poll()
-        poll.register(self.stream.socket, select.POLLRDHUP)
-        return bool(poll.poll(0))
+        return self.stream.peer_has_closed()
+
+    # For subclasses.
 
     def discard_when_full(self) -> bool:
         """Whether to discard further bytes while the receive buffer is full, rather than leave them unread."""
--- a/badgerroad/serving.py
+++ b/badgerroad/serving.py
@@ -19,7 +19,7 @@
 from badgerroad.dispatcher import Dispatcher
 from badgerroad.errors import ListenError
 from badgerroad.net import logs
-from badgerroad.net.connection import Address
+from badgerroad.net.socket_stream import Address
 from badgerroad.net.timer_wheel import Clock, TimerWheel
 from badgerroad.operator_limits import apply_limits
 
--- a/tests/dispatcher/test_connection_endings.py
+++ b/tests/dispatcher/test_connection_endings.py
@@ -6,7 +6,6 @@
 import socket
 
 import pytest
-from tornado.ioloop import IOLoop
 
 from badgerroad.discovery.watch_schedule import NOTIFICATION_DEADLINE_US
 from badgerroad.frontend.client import ClientConnection
@@ -111,7 +110,7 @@
 async def test_an_attempt_is_not_sent_for_a_client_whose_disconnection_has_not_been_read():
     async with WaitingAttempt("preview") as waiting:
         (connection,) = (c for c in waiting.world.dispatcher.frontend.connections if c.exchange)
-        IOLoop.current().remove_handler(connection.stream.fileno())  # the event loop does not read the socket
+        connection.stream.ignore_reads()  # the event loop does not read the socket
         waiting.sock.close()
         assert await waiting.release() == ["r1"]
         assert not waiting.world.dispatcher.open_requests
