Attempts: the accept timeout no longer ends an attempt whose 202 has just been read

Cause: the accept timeout looked only for bytes unread on the socket. Between the reading of a 202 and its handling, one iteration of the event loop later, the attempt counted as acknowledged and timed out, and ended without waiting for its cancel. The same with a response that never ends. Measured: two new tests in tests/backend/test_attempts_without_hedging.py fail before and pass now; tests/backend: 159 passed.

--- a/badgerroad/backend/http.py
+++ b/badgerroad/backend/http.py
@@ -291,10 +291,15 @@
 
     def _give_up_unaccepted(self, attempt: Attempt, worker: WorkerConnections) -> None:
         """Give up an attempt unless its response has been read or a job event shows that the worker has it."""
-        if attempt.ended or attempt.event_received or attempt.connection is None:
+        connection = attempt.connection
+        if attempt.ended or attempt.event_received or connection is None or connection.response_received:
             return
         worker.close_idle()  # probably dead too; a new connection shows sooner whether the worker is reachable
-        self._give_up(attempt, interface.AttemptResult.TIMEOUT)
+        if self.settings.hedging_allowed or attempt.phase is AttemptPhase.UNSENT:
+            self._give_up(attempt, interface.AttemptResult.TIMEOUT)
+        else:
+            attempt.mark_unconfirmed()
+            self._close_and_cancel(attempt, interface.AttemptResult.TIMEOUT)
 
     def handle_job_event(self, request_id: bytes, name: str, state: str, event: dict[str, Any]) -> bool:
         """Apply a job event of worker `name` to its attempt, unless the event may belong to an earlier attempt.
--- a/tests/backend/test_attempts_without_hedging.py
+++ b/tests/backend/test_attempts_without_hedging.py
@@ -6,6 +6,7 @@
 import asyncio
 
 from badgerroad.backend.http import ACCEPT_TIMEOUT_US, CLOSE_CONFIRMATION_TIMEOUT_US
+from badgerroad.net.call_connection import CallConnection
 from tests.support.counting_worker import CountingWorker, methods, never_answered, open_request, send_further_attempt
 from tests.support.loopback import SETTINGS, World, async_test, job, reply, until
 
@@ -97,3 +98,50 @@
         waited_us = w.dispatcher.clock.now() - sent_at
         assert waited_us >= ACCEPT_TIMEOUT_US + CLOSE_CONFIRMATION_TIMEOUT_US - 2_000
         assert waited_us < 1_000_000
+
+
+@async_test
+async def test_the_accept_timeout_does_not_end_an_attempt_whose_202_is_read_but_not_handled(monkeypatch):
+    """Guards against a second attempt beside an accepted one: the timer ran between the two steps of its 202."""
+    on_message = CallConnection.on_message
+
+    def time_out_in_between(connection, message):
+        on_message(connection, message)
+        for attempt in w.dispatcher.backend.attempts.values():
+            if message.status == 202 and attempt.connection is connection:
+                w.dispatcher.backend._not_accepted(attempt, attempt.connections)
+
+    monkeypatch.setattr(CallConnection, "on_message", time_out_in_between)
+    worker = CountingWorker()
+    worker.accepting.set()
+    async with World(worker, permissions=WITHOUT_HEDGING) as w:
+        request = await open_request(w)
+        (attempt,) = request.attempts
+        await until(lambda: attempt.accepted or attempt.ended)
+        assert not attempt.ended
+        assert methods(w.hosts[0]) == ["POST"]
+
+
+@async_test
+async def test_without_hedging_an_attempt_whose_response_never_ends_is_cancelled_before_one_at_another_worker(
+    monkeypatch,
+):
+    """Guards against a second attempt while the cancel of the first one is still on its way."""
+    monkeypatch.setattr(CallConnection, "peer_has_sent", lambda _: True)  # as if bytes arrived all the time
+    started_at_cancel = []
+    may_answer = asyncio.Event()
+
+    async def begin_response(world, head, _body):
+        if head.startswith(b"GET"):
+            return reply(200, b"rps=0,active=0,x0=0")
+        if head.startswith(b"DELETE"):
+            await asyncio.sleep(0.05)
+            started_at_cancel.append(sum(len(methods(peer)) for peer in world.hosts))
+            may_answer.set()
+            return reply(200)
+        return b"HTTP/1.1 202 X\r\nContent-Length: 9\r\n\r\nx"
+
+    async with World(begin_response, begin_response, permissions=WITHOUT_HEDGING) as w:
+        w.begin(w.ask(job()))
+        await until(may_answer.is_set)
+        assert started_at_cancel == [2]  # the attempt and its cancel
