Worker connections: one that holds part of an unasked response is not reused or passed on

What callers saw: 503 for a request that its worker had accepted (in the test); found on the paths related to the bytes lost in an upgrade. Cause: reuse was decided when the last response was complete and by bytes unread on the socket, not by bytes that the connection had read since and that were no complete response. Change: CallConnection.reusable asks the parser too; the pool keeps and passes on reusable ones only.

--- a/badgerroad/backend/worker_connections.py
+++ b/badgerroad/backend/worker_connections.py
@@ -159,6 +159,9 @@
         self._add_idle(worker, connection, int(allowed * IDLE_TIME_FRACTION))
 
     def _add_idle(self, worker: WorkerConnections, connection: CallConnection, idle_us: int) -> None:
+        if not connection.reusable:
+            connection.close()
+            return
         if (
             self.successor is not None
             and not connection.peer_has_sent()
--- a/badgerroad/net/call_connection.py
+++ b/badgerroad/net/call_connection.py
@@ -84,7 +84,7 @@
             responses=True,
             body_limit=body_limit,
         )
-        self.reusable = sock is not None
+        self._may_be_reused = sock is not None
         if sock is not None:
             self.start_reading()
 
@@ -104,7 +104,7 @@
             raise ConnectionBrokenError(False, reason) from error
         if self.closed:
             raise ConnectionBrokenError(False, "connection closed by this process while connecting")
-        self.reusable = True
+        self._may_be_reused = True
         self.start_reading()
 
     async def call(self, data: bytes, on_sent: Callable[[], None] | None = None) -> Message:
@@ -114,13 +114,18 @@
         """
         if self.closed:
             raise ConnectionBrokenError(False, "connection closed before the request was sent")
-        self.reusable = False
+        self._may_be_reused = False
         self._response = asyncio.get_event_loop().create_future()
         self._on_sent = on_sent
         self.send(data)
         self._report_sent()  # usually the data has already been written to the socket
         return await self._response
 
+    @property
+    def reusable(self) -> bool:
+        """Whether the next call may use the connection: no call is open, and no byte of another response has come."""
+        return self._may_be_reused and self.parser.idle
+
     @property
     def response_received(self) -> bool:
         """Whether the response of the last call has been read, even if the caller has not resumed yet."""
@@ -152,7 +157,7 @@
         if future is None:
             self.close()  # unsolicited response; the bytes behind it could be mistaken for the response to a later call
             return
-        self.reusable = not message.close and self.parser.idle and self.all_written
+        self._may_be_reused = not message.close and self.all_written
         future.set_result(message)
         if not self.reusable:
             self.close()
@@ -165,7 +170,7 @@
 
     def on_closed(self) -> None:
         """Fail the open call, if there is one."""
-        self.reusable = False
+        self._may_be_reused = False
         self._report_sent()
         response_begun = self.response_begun
         future = self._take_response_future()
