Client connections: no request is taken while a response is being written

Cause: the next request was taken as soon as the previous one had an answer, written or not. Change: wants_message is false while a response is being written; the receive buffer fills and the socket is not read, so the client's own unread responses hold it back. Measured: the new test in tests/frontend/test_pipelined_requests.py fails before and passes now.

--- a/badgerroad/frontend/client.py
+++ b/badgerroad/frontend/client.py
@@ -113,12 +113,12 @@
     # Requests.
 
     def wants_message(self) -> bool:
-        """Whether another request may be parsed: at most one while a request is open.
+        """Whether another request may be parsed: at most one while a request is open, none while a response is written.
 
         The next request is parsed early because, if it is malformed, client and dispatcher may disagree on the framing,
         and the open request cannot be trusted either.
         """
-        if self.pipelined_request is not None or self._closing:
+        if self.pipelined_request is not None or self._closing or not self.all_written:
             return False
         return self.owner.successor is None or self.exchange is not None
 
--- a/tests/frontend/test_pipelined_requests.py
+++ b/tests/frontend/test_pipelined_requests.py
@@ -1,10 +1,11 @@
 """Several requests at once on one connection, and further ones later."""
 
 import asyncio
+import socket
 
 import pytest
 
-from tests.support.loopback import World, async_test, id_of, job, read_message, reply
+from tests.support.loopback import World, async_test, id_of, job, read_message, reply, until
 
 
 async def echo(world, head, body):
@@ -32,3 +33,26 @@
                 writer.write(requests[number])
             assert (await read_message(reader))[1] == bodies[number]
         assert [body for _, body in world.hosts[0].received] == bodies
+
+
+@async_test
+async def test_a_client_that_does_not_read_its_responses_is_not_read_further():
+    """Guards against responses that overflow the send buffer: the request had no answer, and the log had a traceback."""
+    request, count = b"GET /-/ready HTTP/1.1\r\n\r\n", 15_000
+    async with World(echo) as world:
+        await until(lambda: world.dispatcher.ready)
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.connect(("127.0.0.1", world.port))
+        reader, writer = await asyncio.open_connection(sock=sock)
+        writer.transport.pause_reading()
+        await until(lambda: world.dispatcher.frontend.connections)
+        (connection,) = world.dispatcher.frontend.connections
+        connection.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        writer.write(request * count)
+        await until(lambda: connection.receive_buffer.full)
+        assert len(connection.send_buffer) < 1024  # no more than the response that the socket has not taken
+        writer.transport.resume_reading()
+        for _ in range(count):
+            assert (await read_message(reader))[0].startswith(b"HTTP/1.1 200 ")
+        writer.close()
