Parser: a head or a line that arrives in pieces is searched once; benchmark of memory pressure

Cause: each piece copied the receive buffer and searched it from its start. Change: RingBuffer.find searches in place, and the parser remembers how far it has searched. benchmarks/memory_pressure plays kinds of misbehaving clients against one dispatcher process, which it kills over its limit, and measures memory and the answers to usual clients.

--- a/badgerroad/net/http1.py
+++ b/badgerroad/net/http1.py
@@ -109,6 +109,7 @@
         self.responses = responses
         self.body_limit = body_limit
         self.head: Message | None = None
+        self._scanned = 0  # number of bytes at the start of the buffer without the end of a head or a line
         self._length = 0  # length of the body in bytes, or _CHUNKED or _UNTIL_CLOSE
         self._chunks = bytearray()
         self._chunk_remaining = _AT_SIZE_LINE  # missing bytes of the current chunk and its line end, or _IN_TRAILERS
@@ -188,18 +189,20 @@
 
     def _take_head(self) -> bytes | None:
         """Remove the next head and the empty line behind it from the buffer; returns None if it is incomplete."""
-        data = self.buffer.peek()
-        start = 0
-        while data.startswith(b"\r\n", start) and not self.responses:
-            start += 2  # empty lines before a request are allowed
-        end = data.find(b"\r\n\r\n", start)
-        if end < 0 and len(data) - start < HEADER_LIMIT:
-            self.buffer.skip(start)
+        if not self.responses and not self._scanned:
+            self.buffer.skip_repeated(b"\r\n")  # empty lines before a request are allowed
+        end = self._find(b"\r\n\r\n")
+        if end < 0 and len(self.buffer) < HEADER_LIMIT:
             return None
-        if end < 0 or end - start > HEADER_LIMIT:
+        if end < 0 or end > HEADER_LIMIT:
             raise BadMessageError(431, "the header is too large")
-        self.buffer.skip(end + 4)
-        return data[start:end]
+        return self.buffer.take(end + 4)[:-4]
+
+    def _find(self, pattern: bytes) -> int:
+        """Return the offset of `pattern` in the buffer, or -1; bytes that were searched before are skipped."""
+        end = self.buffer.find(pattern, self._scanned)
+        self._scanned = max(len(self.buffer) - len(pattern) + 1, 0) if end < 0 else 0
+        return end
 
     def _body_length(self, head: Message) -> int:
         lengths = head.header_values(b"content-length")
@@ -220,9 +223,8 @@
         return length
 
     def _take_line(self) -> bytes | None:
-        data = self.buffer.peek()
-        end = data.find(b"\r\n")
-        if end > HEADER_LIMIT or end < 0 and len(data) > HEADER_LIMIT:
+        end = self._find(b"\r\n")
+        if end > HEADER_LIMIT or end < 0 and len(self.buffer) > HEADER_LIMIT:
             raise BadMessageError(400, "a line among the chunks is too long")
         return self.buffer.take(end + 2)[:-2] if end >= 0 else None
 
--- a/badgerroad/net/ring_buffer.py
+++ b/badgerroad/net/ring_buffer.py
@@ -37,8 +37,8 @@
     def writable(self) -> memoryview:
         """Return the next contiguous free memory, growing a full buffer. It is empty once the limit is reached.
 
-        A read may fill the memory later and then call `commit`. Until then, bytes may be removed from the buffer, but
-        none added, and `writable` and `shrink` must not be called.
+        A read may fill the memory later and then call `commit`. Until then, bytes may be removed by `take` and `skip`,
+        and no other method that changes the buffer may be called.
         """
         if self._count == len(self._data) < self.limit:
             self._resize(min(len(self._data) * 2, self.limit))
@@ -79,6 +79,24 @@
         """Return a copy of all bytes without removing them."""
         return self._copy(self._count)
 
+    def find(self, pattern: bytes, start: int = 0) -> int:
+        """Return the offset of the first `pattern` at or behind the offset `start`, or -1 if there is none."""
+        self._make_contiguous()
+        position = self._data.find(pattern, self._head + start, self._head + self._count)
+        return position - self._head if position >= 0 else -1
+
+    def skip_repeated(self, pattern: bytes) -> None:
+        """Remove all repetitions of `pattern` with which the bytes begin."""
+        self._make_contiguous()
+        start, end = self._head, self._head + self._count
+        while self._data.startswith(pattern, start, end):
+            start += len(pattern)
+        self.skip(start - self._head)
+
+    def _make_contiguous(self) -> None:
+        if self._head + self._count > len(self._data):
+            self._resize(len(self._data))
+
     def _copy(self, count: int) -> bytes:
         end = self._head + count
         size = len(self._data)
--- /dev/null
+++ b/benchmarks/memory_pressure/disturbances.py
@@ -0,0 +1,253 @@
+"""Clients that misbehave, one kind at a time, against a dispatcher on loopback.
+
+    python -m benchmarks.memory_pressure.disturbances KIND PORT SCALE
+
+runs in a process of its own, so that it does not slow down the usual clients. SCALE is the part of the full number of
+connections and of the full time, 1 for all. The process ends when the last client has been ended by the dispatcher or
+has left.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import json
+import sys
+from collections.abc import Awaitable, Callable, Iterator
+
+Client = Callable[[int, int], Awaitable[None]]  # gets the port and a number of its own
+OPEN_AT_ONCE = 700  # so that this process needs few descriptors itself
+GIVE_UP_S = 6.0  # a client leaves if the dispatcher has not ended its connection by then
+FLOOD_S = 6.0
+BATCH = 64  # requests written at once by a client at full speed
+BODY = b"x" * 63_000
+
+
+def head(number: int, *lines: str, cls: str = "preview", timeout_ms: int = 7_500) -> bytes:
+    """Return the head of a request, with `lines` as further header lines."""
+    text = [
+        f"POST /{cls}/{number} HTTP/1.1",
+        "Host: app.svc",
+        f"Request-Id: bad{number:012x}",
+        f"Request-Class: {cls}",
+        f"Request-Timeout-Ms: {timeout_ms}",
+        *lines,
+    ]
+    return "\r\n".join(text).encode() + b"\r\n\r\n"
+
+
+@contextlib.asynccontextmanager
+async def connection(port: int):
+    """Open a connection, and end it after GIVE_UP_S; errors of the connection end the block."""
+    writer = None
+    with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
+        async with asyncio.timeout(GIVE_UP_S):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            yield reader, writer
+    if writer is not None:
+        writer.close()
+
+
+async def many_fields(port: int, number: int) -> None:
+    """Send a head of very many short fields, and a tenth of the body."""
+    fields = ["a:"] * 3_900
+    async with connection(port) as (reader, writer):
+        writer.write(head(number, *fields, "Content-Length: 5000") + b"x" * 500)
+        await reader.read()
+
+
+async def half_written(port: int, number: int) -> None:
+    """Send a request without the last ten bytes of its body."""
+    async with connection(port) as (reader, writer):
+        writer.write(head(number, f"Content-Length: {len(BODY) + 10}") + BODY)
+        await reader.read()
+
+
+async def half_chunk(port: int, number: int) -> None:
+    """Send a request whose body is one chunk, without its last ten bytes."""
+    async with connection(port) as (reader, writer):
+        writer.write(head(number, "Transfer-Encoding: chunked") + b"%x\r\n" % (len(BODY) + 10) + BODY)
+        await reader.read()
+
+
+async def small_chunks(port: int, number: int) -> None:
+    """Send a body in chunks of 1,000 bytes, and stop before the last one."""
+    chunk = b"%x\r\n%b\r\n" % (1_000, BODY[:1_000])
+    async with connection(port) as (reader, writer):
+        writer.write(head(number, "Transfer-Encoding: chunked") + chunk * 63)
+        await reader.read()
+
+
+async def slow_body(port: int, number: int) -> None:
+    """Write a body of 64,000 bytes in ten pieces over 2.5 s, and stop before its end."""
+    async with connection(port) as (reader, writer):
+        writer.write(head(number, "Content-Length: 64010"))
+        for _ in range(10):
+            if writer.is_closing():
+                return
+            writer.write(b"x" * 6_400)
+            await asyncio.sleep(0.25)
+        await reader.read()
+
+
+async def slow_head(port: int, number: int) -> None:
+    """Write a head of 15 KB, 64 bytes every 20 ms, and stop before its end."""
+    data = head(number, "X-Padding: " + "x" * 15_000)
+    async with connection(port) as (_, writer):
+        for start in range(0, len(data) - 64, 64):
+            if writer.is_closing():
+                return
+            writer.write(data[start : start + 64])
+            await asyncio.sleep(0.02)
+
+
+async def unread_answer(port: int, number: int) -> None:
+    """Send a large request again and again whose result is as large, and read nothing."""
+    async with connection(port) as (_, writer):
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        for each in range(20):
+            writer.write(head(100 * number + each, f"Content-Length: {len(BODY)}", cls="echo") + BODY)
+            await writer.drain()
+        await asyncio.sleep(GIVE_UP_S)
+
+
+async def waiting_request(port: int, number: int) -> None:
+    """Send a complete large request, more of them than the workers run at once."""
+    async with connection(port) as (reader, writer):
+        writer.write(head(number, f"Content-Length: {len(BODY)}") + BODY)
+        await reader.readuntil(b"\r\n\r\n")
+
+
+async def leaver(port: int, number: int) -> None:
+    """Send 40 requests at once, and leave without reading."""
+    async with connection(port) as (_, writer):
+        for each in range(40):
+            writer.write(head(100 * number + each, f"Content-Length: {len(BODY) // 2}") + BODY[: len(BODY) // 2])
+        await writer.drain()
+
+
+def crowd(client: Client, count: int, per_second: int) -> Callable[[int, float], Awaitable[None]]:
+    """Return a disturbance by `count` clients, of which `per_second` connect in a second."""
+
+    async def run(port: int, scale: float) -> None:
+        places = asyncio.Semaphore(OPEN_AT_ONCE)
+
+        async def one(number: int) -> None:
+            try:
+                await client(port, number)
+            finally:
+                places.release()
+
+        tasks = []
+        for number in range(int(count * scale)):
+            await places.acquire()
+            tasks.append(asyncio.ensure_future(one(number)))
+            await asyncio.sleep(1 / per_second)
+        await asyncio.gather(*tasks)
+
+    return run
+
+
+def unknown_paths(number: int) -> bytes:
+    """Return a request for a class that does not exist."""
+    return f"POST /new{number}/{number} HTTP/1.1\r\nContent-Length: 0\r\n\r\n".encode()
+
+
+def unknown_methods(number: int) -> bytes:
+    """Return a request with a method that does not exist."""
+    return f"M{number} /preview/{number} HTTP/1.1\r\n\r\n".encode()
+
+
+def unsound(number: int) -> bytes:
+    """Return bytes that are no request."""
+    return f"nonsense {number}\r\n\r\n".encode()
+
+
+def without_id(number: int) -> bytes:
+    """Return a request that lacks its id."""
+    return f"POST /preview/{number} HTTP/1.1\r\nContent-Length: 0\r\n\r\n".encode()
+
+
+def job_events(number: int) -> bytes:
+    """Return a job event of a request and a worker that nobody knows, with a result."""
+    event = {"id": f"id{number}", "from": f"w{number}", "state": "done", "result": "x" * 2_000}
+    body = json.dumps(event).encode()
+    return b"POST /v1/job-events HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+
+
+def valid(number: int) -> bytes:
+    """Return a valid request under a new id, with a key of its own."""
+    return head(number, f"Idempotency-Key: {number:032x}", "Content-Length: 0", cls="bundle", timeout_ms=1_000)
+
+
+def same_ids(number: int) -> bytes:
+    """Return a valid request under one of seven ids."""
+    return head(number % 7, "Content-Length: 0", timeout_ms=1_000)
+
+
+def flood(request: Callable[[int], bytes]) -> Callable[[int, float], Awaitable[None]]:
+    """Return a disturbance by one client that sends at full speed and reads whatever comes back."""
+
+    async def run(port: int, scale: float) -> None:
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + FLOOD_S * scale
+        numbers = itertools.count()
+        while loop.time() < ends_at:
+            with contextlib.suppress(OSError):
+                await flood_connection(port, request, numbers, ends_at)
+
+    return run
+
+
+async def flood_connection(port: int, request: Callable[[int], bytes], numbers: Iterator[int], ends_at: float) -> None:
+    """Send requests on one connection until it is ended."""
+    loop = asyncio.get_running_loop()
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    reading = asyncio.ensure_future(read_all(reader))
+    try:
+        while loop.time() < ends_at and not reading.done():
+            writer.write(b"".join(request(number) for number in itertools.islice(numbers, BATCH)))
+            await asyncio.wait_for(writer.drain(), max(ends_at - loop.time(), 0.1))
+    except TimeoutError:
+        pass
+    finally:
+        reading.cancel()
+        writer.close()
+
+
+async def read_all(reader: asyncio.StreamReader) -> None:
+    """Read until the end of the connection."""
+    with contextlib.suppress(OSError):
+        while await reader.read(65_536):
+            pass
+
+
+KINDS: dict[str, Callable[[int, float], Awaitable[None]]] = {
+    "many_fields": crowd(many_fields, 900, 300),
+    "half_written": crowd(half_written, 3_000, 500),
+    "half_chunk": crowd(half_chunk, 3_000, 500),
+    "small_chunks": crowd(small_chunks, 3_000, 500),
+    "slow_body": crowd(slow_body, 900, 300),
+    "slow_head": crowd(slow_head, 450, 300),
+    "unread_answer": crowd(unread_answer, 450, 150),
+    "waiting_request": crowd(waiting_request, 900, 150),
+    "leaver": crowd(leaver, 200, 20),
+    "unknown_paths": flood(unknown_paths),
+    "unknown_methods": flood(unknown_methods),
+    "unsound": flood(unsound),
+    "without_id": flood(without_id),
+    "job_events": flood(job_events),
+    "valid": flood(valid),
+    "same_ids": flood(same_ids),
+}
+
+
+def main() -> None:
+    """Run the disturbance that the command line names."""
+    kind, port, scale = sys.argv[1:]
+    asyncio.run(KINDS[kind](int(port), float(scale)))  # type: ignore[arg-type]
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/memory_pressure/run.py
@@ -0,0 +1,169 @@
+"""Plays one disturbance against one dispatcher process, with usual clients beside it, and measures both."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from benchmarks.memory_pressure.platform import DispatcherProcess, Limits
+from tests.support.loopback import CLASS, SETTINGS, World, id_of, job, read_message, reply
+
+WORKERS = 4
+RUN_S = 0.3
+USUAL_REQUESTS_IN_A_SECOND = 10
+USUAL_TIMEOUT_MS = 7_500
+LATE_S = 0.55  # a request without an answer so long after its time is lost
+SETTLE_S = 10.0
+PEAK_READ_INTERVAL_S = 0.1
+CLASSES = [
+    {**CLASS, "name": "preview", "deadlineUs": 7_500_000},
+    {**CLASS, "name": "echo", "deadlineUs": 7_500_000},
+    {**CLASS, "name": "bundle", "semantics": "dedup", "group": "all", "dedupWindowUs": 5_000_000},
+]
+
+
+@dataclass
+class Outcome:
+    """What was measured in one run."""
+
+    kind: str
+    limits: Limits
+    before_mb: float = 0.0
+    peak_mb: float = 0.0
+    after_mb: float = 0.0
+    killed_at_mb: float = 0.0
+    slowest_s: float = 0.0
+    usual: int = 0
+    lost: list[str] = field(default_factory=list)
+    rejected: int = 0
+
+    def __str__(self) -> str:
+        """Return the figures in one line."""
+        killed = f", KILLED at {self.killed_at_mb:.0f} MB" if self.killed_at_mb else ""
+        return (
+            f"{self.kind:15} {self.limits.memory_mb:4} MB {self.limits.descriptors:5}: memory {self.before_mb:.0f}, "
+            f"{self.peak_mb:.0f}, {self.after_mb:.0f} MB; usual requests {self.usual}, slowest {self.slowest_s:.2f} s, "
+            f"rejected {self.rejected}, lost {len(self.lost)}{killed}"
+        )
+
+
+async def run_job(world: World, head: bytes, body: bytes) -> bytes:
+    """Script of a worker that runs each job for RUN_S; the result of an `echo` is its body."""
+    if not head.startswith(b"POST"):
+        return reply(200, b"rps=1,active=1,x0=0")
+
+    async def finish() -> None:
+        await asyncio.sleep(RUN_S)
+        result = body.decode() if head.startswith(b"POST /echo") else "made"
+        for _ in range(10):
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                await world.call_back(id_of(head), "done", world.name_of(head), result=result)
+                return
+            await asyncio.sleep(0.1)
+
+    task = asyncio.ensure_future(finish())
+    world.running.add(task)
+    task.add_done_callback(world.running.discard)
+    return reply(202)
+
+
+class UsualClients:
+    """Clients that send one request each on a new connection, at an even rate."""
+
+    def __init__(self, world: World, outcome: Outcome) -> None:
+        self._world = world
+        self._outcome = outcome
+        self._stopping = asyncio.Event()
+
+    async def run(self) -> None:
+        """Send requests until stopped, and wait for the last answers."""
+        asking = []
+        for number in itertools.count():
+            if self._stopping.is_set():
+                break
+            asking.append(asyncio.ensure_future(self._ask(f"usual{number}")))
+            await asyncio.sleep(1 / USUAL_REQUESTS_IN_A_SECOND)
+        await asyncio.gather(*asking)
+
+    def stop(self) -> None:
+        """Send no further requests."""
+        self._stopping.set()
+
+    async def _ask(self, name: str) -> None:
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        status = 0
+        self._outcome.usual += 1
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
+            async with asyncio.timeout(USUAL_TIMEOUT_MS / 1000 + LATE_S):
+                reader, writer = await self._world.connect()
+                writer.write(job(name, "preview", USUAL_TIMEOUT_MS, b"x", "Work-Hint: 300000"))
+                head, _ = await read_message(reader)
+                status = int(head.split()[1])
+                writer.close()
+        self._outcome.slowest_s = max(self._outcome.slowest_s, loop.time() - began_at)
+        self._outcome.rejected += status in (429, 503)
+        if status == 0:
+            self._outcome.lost.append(name)
+
+
+async def play(
+    kind: str, limits: Limits, folder: Path, scale: float = 1.0, settle_s: float = SETTLE_S, kills: bool = True
+) -> Outcome:
+    """Play a disturbance of `disturbances.KINDS`; `scale` as there."""
+    outcome = Outcome(kind, limits)
+    world = World(*[run_job] * WORKERS, requestClasses=CLASSES)
+    world.running = set()
+    await world.open()
+    listener = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+    world.port = listener.sockets[0].getsockname()[1]
+    listener.close()  # frees the port for the dispatcher
+    dispatcher = DispatcherProcess(limits, folder, kills)
+    try:
+        await dispatcher.start(world.port, world.discovery.port, {**SETTINGS, "requestClasses": CLASSES})
+        await ready(world, dispatcher)
+        await asyncio.sleep(1.0)
+        outcome.before_mb = dispatcher.resident_mb
+        usual = UsualClients(world, outcome)
+        asking = asyncio.ensure_future(usual.run())
+        await disturb(kind, world.port, scale, dispatcher, outcome)
+        usual.stop()
+        await asking
+        await asyncio.sleep(settle_s)
+        outcome.after_mb = dispatcher.resident_mb
+        outcome.peak_mb = max(outcome.peak_mb, dispatcher.peak_mb)
+        outcome.killed_at_mb = dispatcher.killed_at_mb
+        if not dispatcher.running and not outcome.killed_at_mb:
+            outcome.lost.append("the dispatcher has ended")
+    finally:
+        await dispatcher.end()
+        await world.close()
+    return outcome
+
+
+async def disturb(kind: str, port: int, scale: float, dispatcher: DispatcherProcess, outcome: Outcome) -> None:
+    """Run the disturbance in a process of its own, to its end or to that of the dispatcher."""
+    command = [sys.executable, "-m", "benchmarks.memory_pressure.disturbances", kind, str(port), str(scale)]
+    process = await asyncio.create_subprocess_exec(*command)
+    while process.returncode is None and dispatcher.running:
+        outcome.peak_mb = max(outcome.peak_mb, dispatcher.peak_mb)
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(process.wait(), PEAK_READ_INTERVAL_S)
+    if process.returncode is None:
+        process.kill()
+    await process.wait()
+
+
+async def ready(world: World, dispatcher: DispatcherProcess) -> None:
+    """Wait until the dispatcher serves clients. Raises RuntimeError if it has ended."""
+    while True:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            if (await world.ask(b"GET /-/ready HTTP/1.1\r\n\r\n"))[0] == 200:
+                return
+        if not dispatcher.running:
+            raise RuntimeError("the dispatcher has ended at its start")
+        await asyncio.sleep(0.02)
--- a/tests/net/test_http1_parser.py
+++ b/tests/net/test_http1_parser.py
@@ -65,3 +65,29 @@
     with pytest.raises(http1.BadMessageError) as caught:
         parse(data, 4096)
     assert caught.value.status == status
+
+
+@pytest.mark.parametrize("blank_lines", [0, 3])
+def test_a_head_that_arrives_in_small_pieces_is_searched_once(blank_lines):
+    """Guards against a head that is copied and searched from its start at each piece: many slow clients held the loop."""
+    searched = []
+
+    class CountingBuffer(RingBuffer):
+        def peek(self):
+            searched.append(len(self))
+            return super().peek()
+
+        def find(self, pattern, start=0):
+            searched.append(len(self) - start)
+            return super().find(pattern, start)
+
+    ring_buffer = CountingBuffer(http1.MESSAGE_LIMIT)
+    parser = http1.Parser(ring_buffer)
+    data = b"\r\n" * blank_lines + b"GET / HTTP/1.1\r\nX: " + b"x" * 15_000 + b"\r\n\r\n"
+    messages = []
+    for start in range(0, len(data), 10):
+        ring_buffer.put(data[start : start + 10])
+        messages.append(parser.next_message())
+    assert messages[-1].headers == [(b"x", b"x" * 15_000)]
+    assert messages[:-1] == [None] * (len(messages) - 1)
+    assert sum(searched) < 3 * len(data)
