Parser: a message has at most 100 header fields

What callers saw: hundreds of clients with heads of thousands of short fields drove a process over its memory limit. Cause: a parsed field takes about 100 bytes, whatever its length, and only the bytes of a head were limited; 3,900 fields fit in 16 KB. Change: a request with more than 100 fields gets 431 before its fields are parsed. The new test fails before.

--- a/badgerroad/net/http1.py
+++ b/badgerroad/net/http1.py
@@ -15,6 +15,9 @@
 HEADER_LIMIT = 16 * 1024  # largest header of a message, in bytes
 BODY_LIMIT = 64 * 1024  # largest body of a message, in bytes
 MESSAGE_LIMIT = HEADER_LIMIT + BODY_LIMIT
+# Most header fields of a message. A parsed field takes many times the memory of its bytes, so the size of the header
+# alone does not limit the memory of a message.
+MAX_HEADER_FIELDS = 100
 REASONS = {
     100: "Continue",
     200: "OK",
@@ -175,6 +178,8 @@
             block = self._take_head()
             if block is None:
                 return False
+            if block.count(b"\r\n") > MAX_HEADER_FIELDS:
+                raise BadMessageError(431, "the header has too many fields")
             first_line, *lines = block.split(b"\r\n")
             headers = _parse_headers(lines)
             head = (
--- a/tests/net/test_http1_parser.py
+++ b/tests/net/test_http1_parser.py
@@ -91,3 +91,14 @@
     assert messages[-1].headers == [(b"x", b"x" * 15_000)]
     assert messages[:-1] == [None] * (len(messages) - 1)
     assert sum(searched) < 3 * len(data)
+
+
+@pytest.mark.parametrize("responses", [False, True], ids=["request", "response"])
+def test_a_message_may_have_100_header_fields_and_no_more(responses):
+    """Guards against heads of very many short fields, which took 25 times the memory of their bytes."""
+    first_line = b"HTTP/1.1 204 X\r\n" if responses else b"GET / HTTP/1.1\r\n"
+    (message,) = parse(first_line + b"a:\r\n" * 100 + b"\r\n", 10_000, responses)
+    assert len(message.headers) == 100
+    with pytest.raises(http1.BadMessageError, match="too many fields") as caught:
+        parse(first_line + b"a:\r\n" * 101 + b"\r\n", 10_000, responses)
+    assert caught.value.status == 431
