--- a/benchmarks/memory_pressure/__main__.py
+++ b/benchmarks/memory_pressure/__main__.py
@@ -16,7 +16,12 @@
 def main() -> int:
     """Parse the command line and play the disturbances."""
     parser = argparse.ArgumentParser(prog="python -m benchmarks.memory_pressure")
-    parser.add_argument("--kinds", default=",".join(KINDS), help="the disturbances, with commas between them")
+    parser.add_argument(
+        "--kinds",
+        default=",".join(KINDS),
+        help="the disturbances, with commas between them, or + " "between those that follow one another in one run",
+    )
+    parser.add_argument("--upgrade", action="store_true", help="a second process takes over during the first one")
     parser.add_argument("--memory-mb", type=int, default=96)
     parser.add_argument("--descriptors", type=int, default=512)
     parser.add_argument("--scale", type=float, default=1.0, help="part of the full number of clients and time")
@@ -30,7 +35,15 @@
     for kind in options.kinds.split(","):
         with tempfile.TemporaryDirectory() as folder:
             outcome = asyncio.run(
-                play(kind, limits, Path(folder), options.scale, options.settle, not options.without_kill)
+                play(
+                    kind.split("+"),
+                    limits,
+                    Path(folder),
+                    options.scale,
+                    options.settle,
+                    not options.without_kill,
+                    options.upgrade,
+                )
             )
         print(outcome, flush=True)
         failed |= bool(outcome.lost) or outcome.peak_mb > limits.memory_mb
--- a/benchmarks/memory_pressure/disturbances.py
+++ b/benchmarks/memory_pressure/disturbances.py
@@ -20,6 +20,8 @@
 OPEN_AT_ONCE = 700  # so that this process needs few descriptors itself
 GIVE_UP_S = 6.0  # a client leaves if the dispatcher has not ended its connection by then
 FLOOD_S = 6.0
+RECONNECT_S = 8.0  # for how long the clients of `reconnecting_crowd` connect again
+RECONNECT_DELAY_S = 0.01
 BATCH = 64  # requests written at once by a client at full speed
 BODY = b"x" * 63_000
 
@@ -127,6 +129,71 @@
         await writer.drain()
 
 
+async def half_written_fields(port: int, number: int) -> None:
+    """Send a head of 90 fields, and a body without its last ten bytes."""
+    fields = [f"X-Field-{field}: {'v' * 128}" for field in range(90)]
+    async with connection(port) as (reader, writer):
+        writer.write(head(number, *fields, f"Content-Length: {len(BODY) + 10}") + BODY)
+        await reader.read()
+
+
+def complete(number: int, cls: str = "preview") -> bytes:
+    """Return a complete large request."""
+    return head(number, f"Content-Length: {len(BODY)}", cls=cls) + BODY
+
+
+def in_chunks(number: int) -> bytes:
+    """Return a complete large request in chunks of 1,000 bytes."""
+    chunk = b"%x\r\n%b\r\n" % (1_000, BODY[:1_000])
+    return head(number, "Transfer-Encoding: chunked") + chunk * 63 + b"0\r\n\r\n"
+
+
+async def complete_then_unsound(port: int, number: int) -> None:
+    """Send a complete request, and bytes that are no request behind it."""
+    async with connection(port) as (reader, writer):
+        writer.write(complete(number) + b"nonsense\r\n\r\n" + BODY)
+        await reader.read()
+
+
+async def third_half_written(port: int, number: int) -> None:
+    """Send two complete requests and a third one without its last ten bytes, 20 ms apart."""
+    async with connection(port) as (reader, writer):
+        for each in range(2):
+            writer.write(complete(100 * number + each))
+            await asyncio.sleep(0.02)
+        writer.write(complete(100 * number + 2)[:-10])
+        await reader.read()
+
+
+def three_at_once(request: Callable[[int], bytes]) -> Client:
+    """Return a client that sends three complete requests at once."""
+
+    async def client(port: int, number: int) -> None:
+        async with connection(port) as (reader, writer):
+            writer.write(b"".join(request(100 * number + each) for each in range(3)))
+            await reader.read()
+
+    return client
+
+
+def reconnecting_crowd(client: Client, count: int) -> Callable[[int, float], Awaitable[None]]:
+    """Return a disturbance by `count` clients that connect again when the dispatcher has ended their connections."""
+
+    async def run(port: int, scale: float) -> None:
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + RECONNECT_S * scale
+        numbers = itertools.count()
+
+        async def one() -> None:
+            while loop.time() < ends_at:
+                await client(port, next(numbers))
+                await asyncio.sleep(RECONNECT_DELAY_S)
+
+        await asyncio.gather(*(one() for _ in range(count)))
+
+    return run
+
+
 def crowd(client: Client, count: int, per_second: int) -> Callable[[int, float], Awaitable[None]]:
     """Return a disturbance by `count` clients, of which `per_second` connect in a second."""
 
@@ -233,6 +300,16 @@
     "unread_answer": crowd(unread_answer, 450, 150),
     "waiting_request": crowd(waiting_request, 900, 150),
     "leaver": crowd(leaver, 200, 20),
+    "again": reconnecting_crowd(half_written, 600),
+    "again_fields": reconnecting_crowd(half_written_fields, 600),
+    "again_unsound": reconnecting_crowd(complete_then_unsound, 450),
+    "again_third": reconnecting_crowd(third_half_written, 600),
+    "again_few": reconnecting_crowd(half_written, 450),
+    "again_many": reconnecting_crowd(half_written, 1_300),
+    "third": crowd(third_half_written, 900, 300),
+    "three_at_once": crowd(three_at_once(complete), 900, 300),
+    "three_unsafe": crowd(three_at_once(lambda number: complete(number, "amend")), 900, 300),
+    "three_in_chunks": crowd(three_at_once(in_chunks), 900, 300),
     "unknown_paths": flood(unknown_paths),
     "unknown_methods": flood(unknown_methods),
     "unsound": flood(unsound),
--- a/benchmarks/memory_pressure/platform.py
+++ b/benchmarks/memory_pressure/platform.py
@@ -1,4 +1,4 @@
-"""Runs one dispatcher process as the platform does: within limits, and killed once its memory is over its limit."""
+"""Runs the processes of one dispatcher as the platform does: within limits, and killed once they take too much memory."""
 
 from __future__ import annotations
 
@@ -6,18 +6,23 @@
 import contextlib
 import json
 import os
+import signal
 import sys
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
+from tests.support.loopback import read_message
+from tests.support.ports import free_port
+
 LOOK_INTERVAL_S = 0.02
 KILOBYTES_PER_MEGABYTE = 1024
+KILL_DELAY_S = 8.2  # from SIGTERM to SIGKILL: the longest deadline of the settings and 0.7 s
 
 
 @dataclass(frozen=True)
 class Limits:
-    """What the platform allows a dispatcher."""
+    """What the platform allows a dispatcher, in all its processes together."""
 
     memory_mb: int
     descriptors: int
@@ -32,21 +37,22 @@
     return 0.0
 
 
-class DispatcherProcess:
-    """A process of `badgerroad serve`; `kills` is false to see how far the memory would go."""
+class DispatcherProcesses:
+    """The processes of one dispatcher; `kills` is false to see how far their memory would go."""
 
     def __init__(self, limits: Limits, folder: Path, kills: bool) -> None:
         self.limits = limits
         self.folder = folder
         self.kills = kills
         self.killed_at_mb = 0.0
-        self._process: asyncio.subprocess.Process | None = None
+        self.peak_mb = 0.0  # highest sum of the resident memory of all processes
+        self.ended_by_itself = False
+        self._processes: list[asyncio.subprocess.Process] = []
         self._watch: asyncio.Task[None] | None = None
 
-    async def start(self, port: int, discovery_port: int, settings: dict[str, Any]) -> None:
-        """Start the process; it may not be ready yet."""
-        config = self.folder / "config.json"
-        config.write_text(
+    def configure(self, port: int, discovery_port: int, settings: dict[str, Any]) -> None:
+        """Write the configuration that all processes read."""
+        (self.folder / "config.json").write_text(
             json.dumps(
                 {
                     "name": "n1",
@@ -58,48 +64,94 @@
                 }
             )
         )
-        with open(self.folder / "dispatcher.log", "wb") as log:
-            self._process = await asyncio.create_subprocess_exec(
+
+    async def start(self) -> None:
+        """Start a process, which takes over from a running one, and wait until it is ready.
+
+        Raises RuntimeError if it ends before that.
+        """
+        ops_port = free_port()
+        with open(self.folder / "dispatcher.log", "ab") as log:
+            process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
                 "badgerroad",
                 "serve",
                 stdout=log,
                 stderr=log,
-                env={**os.environ, "PROXY_CONFIG": str(config), "TMPDIR": str(self.folder)},
+                env={
+                    **os.environ,
+                    "PROXY_CONFIG": str(self.folder / "config.json"),
+                    "PROXY_OPS": f"127.0.0.1:{ops_port}",
+                    "TMPDIR": str(self.folder),
+                },
             )
-        self._watch = asyncio.ensure_future(self._watch_memory(self._process))
+        self._processes.append(process)
+        if self._watch is None:
+            self._watch = asyncio.ensure_future(self._watch_memory())
+        while not await _is_ready(ops_port):
+            if process.returncode is not None:
+                raise RuntimeError("the dispatcher has ended at its start")
+            await asyncio.sleep(LOOK_INTERVAL_S)
 
-    async def _watch_memory(self, process: asyncio.subprocess.Process) -> None:
-        while process.returncode is None:
-            resident_mb = memory_mb(process.pid, "VmRSS")
+    async def upgrade(self) -> None:
+        """Start a second process, and end the first one as the platform does."""
+        (old,) = self._processes
+        await self.start()
+        old.send_signal(signal.SIGTERM)
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(old.wait(), KILL_DELAY_S)
+        if old.returncode is None:
+            old.kill()
+            await old.wait()
+        self._processes.remove(old)
+
+    async def _watch_memory(self) -> None:
+        while True:
+            resident_mb = self.resident_mb
+            self.peak_mb = max(self.peak_mb, resident_mb)
             if self.kills and resident_mb > self.limits.memory_mb:
                 self.killed_at_mb = resident_mb
-                process.kill()
+                for process in self._processes:
+                    _kill(process)
+                return
+            if self._processes and self._processes[-1].returncode is not None:
+                self.ended_by_itself = True
                 return
             await asyncio.sleep(LOOK_INTERVAL_S)
 
     @property
     def running(self) -> bool:
-        """Whether the process has not ended."""
-        return self._process is not None and self._process.returncode is None
+        """Whether the newest process has not ended."""
+        return bool(self._processes) and self._processes[-1].returncode is None
 
     @property
     def resident_mb(self) -> float:
-        """The resident memory now."""
-        return memory_mb(self._process.pid, "VmRSS") if self._process is not None else 0.0
-
-    @property
-    def peak_mb(self) -> float:
-        """The highest resident memory so far."""
-        return memory_mb(self._process.pid, "VmHWM") if self._process is not None else 0.0
+        """The resident memory of all processes now."""
+        return sum(memory_mb(process.pid, "VmRSS") for process in self._processes if process.returncode is None)
 
     async def end(self) -> None:
-        """Kill the process and wait for its end."""
-        if self._process is None:
-            return
-        with contextlib.suppress(ProcessLookupError):
-            self._process.kill()
-        await self._process.wait()
+        """Kill all processes and wait for their ends."""
         if self._watch is not None:
-            await self._watch
+            self._watch.cancel()
+            await asyncio.wait([self._watch])
+        for process in self._processes:
+            _kill(process)
+            await process.wait()
+
+
+def _kill(process: asyncio.subprocess.Process) -> None:
+    with contextlib.suppress(ProcessLookupError):
+        process.kill()
+
+
+async def _is_ready(ops_port: int) -> bool:
+    with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        reader, writer = await asyncio.open_connection("127.0.0.1", ops_port)
+        writer.write(b"GET /ready HTTP/1.1\r\n\r\n")
+        try:
+            head, _ = await read_message(reader)
+        finally:
+            writer.close()
+        return head.split()[1] == b"200"
+    return False
--- a/benchmarks/memory_pressure/run.py
+++ b/benchmarks/memory_pressure/run.py
@@ -6,11 +6,13 @@
 import contextlib
 import itertools
 import sys
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from benchmarks.memory_pressure.platform import DispatcherProcess, Limits
+from benchmarks.memory_pressure.platform import DispatcherProcesses, Limits
 from tests.support.loopback import CLASS, SETTINGS, World, id_of, job, read_message, reply
+from tests.support.ports import free_port
 
 WORKERS = 4
 RUN_S = 0.3
@@ -18,11 +20,13 @@
 USUAL_TIMEOUT_MS = 7_500
 LATE_S = 0.55  # a request without an answer so long after its time is lost
 SETTLE_S = 10.0
-PEAK_READ_INTERVAL_S = 0.1
+RUNNING_CHECK_INTERVAL_S = 0.1
+UPGRADE_AFTER_S = 2.0  # from the start of the first disturbance
 CLASSES = [
     {**CLASS, "name": "preview", "deadlineUs": 7_500_000},
     {**CLASS, "name": "echo", "deadlineUs": 7_500_000},
     {**CLASS, "name": "bundle", "semantics": "dedup", "group": "all", "dedupWindowUs": 5_000_000},
+    {**CLASS, "name": "amend", "semantics": "fragile", "deadlineUs": 7_500_000},
 ]
 
 
@@ -45,7 +49,7 @@
         """Return the figures in one line."""
         killed = f", KILLED at {self.killed_at_mb:.0f} MB" if self.killed_at_mb else ""
         return (
-            f"{self.kind:15} {self.limits.memory_mb:4} MB {self.limits.descriptors:5}: memory {self.before_mb:.0f}, "
+            f"{self.kind:22} {self.limits.memory_mb:4} MB {self.limits.descriptors:5}: memory {self.before_mb:.0f}, "
             f"{self.peak_mb:.0f}, {self.after_mb:.0f} MB; usual requests {self.usual}, slowest {self.slowest_s:.2f} s, "
             f"rejected {self.rejected}, lost {len(self.lost)}{killed}"
         )
@@ -112,32 +116,43 @@
 
 
 async def play(
-    kind: str, limits: Limits, folder: Path, scale: float = 1.0, settle_s: float = SETTLE_S, kills: bool = True
+    kinds: Sequence[str],
+    limits: Limits,
+    folder: Path,
+    scale: float = 1.0,
+    settle_s: float = SETTLE_S,
+    kills: bool = True,
+    upgrades: bool = False,
 ) -> Outcome:
-    """Play a disturbance of `disturbances.KINDS`; `scale` as there."""
-    outcome = Outcome(kind, limits)
+    """Play disturbances one after the other, named as in `disturbances.named`; `scale` as there.
+
+    With `upgrades`, a second process of the dispatcher takes over during the first disturbance.
+    """
+    outcome = Outcome("+".join(kinds) + (" upgrade" if upgrades else ""), limits)
     world = World(*[run_job] * WORKERS, requestClasses=CLASSES)
     world.running = set()
     await world.open()
-    listener = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
-    world.port = listener.sockets[0].getsockname()[1]
-    listener.close()  # frees the port for the dispatcher
-    dispatcher = DispatcherProcess(limits, folder, kills)
+    world.port = free_port()
+    dispatcher = DispatcherProcesses(limits, folder, kills)
     try:
-        await dispatcher.start(world.port, world.discovery.port, {**SETTINGS, "requestClasses": CLASSES})
-        await ready(world, dispatcher)
+        dispatcher.configure(world.port, world.discovery.port, {**SETTINGS, "requestClasses": CLASSES})
+        await dispatcher.start()
         await asyncio.sleep(1.0)
         outcome.before_mb = dispatcher.resident_mb
         usual = UsualClients(world, outcome)
         asking = asyncio.ensure_future(usual.run())
-        await disturb(kind, world.port, scale, dispatcher, outcome)
+        upgrade = asyncio.ensure_future(upgrade_soon(dispatcher)) if upgrades else None
+        for kind in kinds:
+            await disturb(kind, world.port, scale, dispatcher)
+        if upgrade is not None:
+            await upgrade
         usual.stop()
         await asking
         await asyncio.sleep(settle_s)
         outcome.after_mb = dispatcher.resident_mb
-        outcome.peak_mb = max(outcome.peak_mb, dispatcher.peak_mb)
+        outcome.peak_mb = dispatcher.peak_mb
         outcome.killed_at_mb = dispatcher.killed_at_mb
-        if not dispatcher.running and not outcome.killed_at_mb:
+        if dispatcher.ended_by_itself and not outcome.killed_at_mb:
             outcome.lost.append("the dispatcher has ended")
     finally:
         await dispatcher.end()
@@ -145,25 +160,20 @@
     return outcome
 
 
-async def disturb(kind: str, port: int, scale: float, dispatcher: DispatcherProcess, outcome: Outcome) -> None:
+async def upgrade_soon(dispatcher: DispatcherProcesses) -> None:
+    """Upgrade the dispatcher while the first disturbance is at its height."""
+    await asyncio.sleep(UPGRADE_AFTER_S)
+    with contextlib.suppress(RuntimeError):
+        await dispatcher.upgrade()
+
+
+async def disturb(kind: str, port: int, scale: float, dispatcher: DispatcherProcesses) -> None:
     """Run the disturbance in a process of its own, to its end or to that of the dispatcher."""
     command = [sys.executable, "-m", "benchmarks.memory_pressure.disturbances", kind, str(port), str(scale)]
     process = await asyncio.create_subprocess_exec(*command)
     while process.returncode is None and dispatcher.running:
-        outcome.peak_mb = max(outcome.peak_mb, dispatcher.peak_mb)
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(process.wait(), PEAK_READ_INTERVAL_S)
+            await asyncio.wait_for(process.wait(), RUNNING_CHECK_INTERVAL_S)
     if process.returncode is None:
         process.kill()
     await process.wait()
-
-
-async def ready(world: World, dispatcher: DispatcherProcess) -> None:
-    """Wait until the dispatcher serves clients. Raises RuntimeError if it has ended."""
-    while True:
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            if (await world.ask(b"GET /-/ready HTTP/1.1\r\n\r\n"))[0] == 200:
-                return
-        if not dispatcher.running:
-            raise RuntimeError("the dispatcher has ended at its start")
-        await asyncio.sleep(0.02)
