Failing tests: crowds drive a process, or both of an upgrade, over the limit

benchmarks.memory_pressure also gets random crowds by seed, which mix sizes, phases, framings, paces and endings.

--- a/benchmarks/memory_pressure/disturbances.py
+++ b/benchmarks/memory_pressure/disturbances.py
@@ -16,6 +16,9 @@
 import sys
 from collections.abc import Awaitable, Callable, Iterator
 
+from benchmarks.memory_pressure.random_crowds import RandomCrowd
+from benchmarks.memory_pressure.requests import BODY, complete, complete_in_chunks, head, in_chunks
+
 Client = Callable[[int, int], Awaitable[None]]  # gets the port and a number of its own
 OPEN_AT_ONCE = 700  # so that this process needs few descriptors itself
 GIVE_UP_S = 6.0  # a client leaves if the dispatcher has not ended its connection by then
@@ -23,20 +26,6 @@
 RECONNECT_S = 8.0  # for how long the clients of `reconnecting_crowd` connect again
 RECONNECT_DELAY_S = 0.01
 BATCH = 64  # requests written at once by a client at full speed
-BODY = b"x" * 63_000
-
-
-def head(number: int, *lines: str, cls: str = "preview", timeout_ms: int = 7_500) -> bytes:
-    """Return the head of a request, with `lines` as further header lines."""
-    text = [
-        f"POST /{cls}/{number} HTTP/1.1",
-        "Host: app.svc",
-        f"Request-Id: bad{number:012x}",
-        f"Request-Class: {cls}",
-        f"Request-Timeout-Ms: {timeout_ms}",
-        *lines,
-    ]
-    return "\r\n".join(text).encode() + b"\r\n\r\n"
 
 
 @contextlib.asynccontextmanager
@@ -75,9 +64,9 @@
 
 async def small_chunks(port: int, number: int) -> None:
     """Send a body in chunks of 1,000 bytes, and stop before the last one."""
-    chunk = b"%x\r\n%b\r\n" % (1_000, BODY[:1_000])
+    body = in_chunks(BODY, 1_000).removesuffix(b"0\r\n\r\n")
     async with connection(port) as (reader, writer):
-        writer.write(head(number, "Transfer-Encoding: chunked") + chunk * 63)
+        writer.write(head(number, "Transfer-Encoding: chunked") + body)
         await reader.read()
 
 
@@ -137,17 +126,6 @@
         await reader.read()
 
 
-def complete(number: int, cls: str = "preview") -> bytes:
-    """Return a complete large request."""
-    return head(number, f"Content-Length: {len(BODY)}", cls=cls) + BODY
-
-
-def in_chunks(number: int) -> bytes:
-    """Return a complete large request in chunks of 1,000 bytes."""
-    chunk = b"%x\r\n%b\r\n" % (1_000, BODY[:1_000])
-    return head(number, "Transfer-Encoding: chunked") + chunk * 63 + b"0\r\n\r\n"
-
-
 async def complete_then_unsound(port: int, number: int) -> None:
     """Send a complete request, and bytes that are no request behind it."""
     async with connection(port) as (reader, writer):
@@ -309,7 +287,7 @@
     "third": crowd(third_half_written, 900, 300),
     "three_at_once": crowd(three_at_once(complete), 900, 300),
     "three_unsafe": crowd(three_at_once(lambda number: complete(number, "amend")), 900, 300),
-    "three_in_chunks": crowd(three_at_once(in_chunks), 900, 300),
+    "three_in_chunks": crowd(three_at_once(complete_in_chunks), 900, 300),
     "unknown_paths": flood(unknown_paths),
     "unknown_methods": flood(unknown_methods),
     "unsound": flood(unsound),
@@ -320,10 +298,21 @@
 }
 
 
+RANDOM_PREFIX = "random:"  # followed by a seed
+
+
+async def run(kind: str, port: int, scale: float) -> None:
+    """Run a disturbance of KINDS, or the random crowd of a seed."""
+    if kind.startswith(RANDOM_PREFIX):
+        await RandomCrowd(int(kind.removeprefix(RANDOM_PREFIX)), port, scale).run()
+    else:
+        await KINDS[kind](port, scale)
+
+
 def main() -> None:
     """Run the disturbance that the command line names."""
     kind, port, scale = sys.argv[1:]
-    asyncio.run(KINDS[kind](int(port), float(scale)))  # type: ignore[arg-type]
+    asyncio.run(run(kind, int(port), float(scale)))
 
 
 if __name__ == "__main__":
