--- a/badgerroad/config.py
+++ b/badgerroad/config.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+import math
 import resource
 from collections.abc import Mapping
 from pathlib import Path
@@ -27,6 +28,7 @@
 
 
 MIN_SOCKETS = 64
+DEFAULT_MEMORY_MB = 192
 
 
 class Config(NamedTuple):
@@ -42,6 +44,7 @@
     zones: list[str]
     machine_types: list[str]
     admin: Address | None = None  # the address of the admin listener; None if there is no such listener
+    memory_mb: float = DEFAULT_MEMORY_MB  # all processes of the dispatcher together; beyond it they are killed
     keys: KeyTree = KeyTree({})  # the keys of the file, to which that of a reload is compared
 
 
@@ -110,6 +113,7 @@
         zones,
         machine_types,
         _address(data, environment, "ops") if environment.get("PROXY_OPS") or "ops" in data else None,
+        _memory_mb(data),
         key_tree(data),
     )
 
@@ -133,6 +137,13 @@
     return min(sockets, process_limit) if process_limit > 0 else sockets
 
 
+def _memory_mb(data: dict[str, Any]) -> float:
+    memory_mb = data.get("limits", {}).get("memory_mb", DEFAULT_MEMORY_MB)
+    if not isinstance(memory_mb, int | float) or isinstance(memory_mb, bool) or not 0 < memory_mb < math.inf:
+        raise ConfigError(f"limits.memory_mb: not a number over 0: {memory_mb!r}")
+    return float(memory_mb)
+
+
 def _settings(data: dict[str, Any]) -> interface.Settings:
     if not isinstance(data.get("settings"), dict):
         raise ConfigError("settings: missing or not an object")
--- a/badgerroad/dispatcher/core.py
+++ b/badgerroad/dispatcher/core.py
@@ -22,6 +22,7 @@
 from badgerroad.load_balancing.policy import DispatchPolicy
 from badgerroad.net import logs
 from badgerroad.net.descriptor_budget import DescriptorBudget
+from badgerroad.net.process_memory import BYTES_PER_KB, KB_PER_MB, resident_bytes
 from badgerroad.net.socket_stream import Address
 from badgerroad.net.timer_wheel import TimerWheel
 from badgerroad.requests import OpenRequest
@@ -194,9 +195,15 @@
         """Return the metrics that the admin listener serves. Raises RuntimeError if this dispatcher keeps no counts."""
         if self.counts is None:
             raise RuntimeError("no metrics: this dispatcher was created without counters")
-        return self.counts.metrics(
+        metrics = self.counts.metrics(
             len(self.endpoint_watch.states), unavailable_workers(self.decisions.workers.values(), self.clock.now())
         )
+        return {
+            **metrics,
+            "clients": len(self.frontend.connections),
+            "resident_kb": resident_bytes() // BYTES_PER_KB,
+            "memory_limit_kb": int(self.config.memory_mb * KB_PER_MB),
+        }
 
     def next_request_number(self) -> int:
         """Return a number that no other request of this process has."""
@@ -238,6 +245,7 @@
             ("listen", self.config.listen, config.listen),
             ("ops", self.config.admin, config.admin),
             ("sockets", self.config.max_sockets, config.max_sockets),
+            ("memory_mb", self.config.memory_mb, config.memory_mb),
         ):
             if before != after:
                 log.warning("setting_needs_restart", field=field)
--- /dev/null
+++ b/badgerroad/net/process_memory.py
@@ -0,0 +1,19 @@
+"""The memory of this process as the operating system sees it."""
+
+from __future__ import annotations
+
+import contextlib
+import resource
+
+BYTES_PER_KB = 1024
+KB_PER_MB = 1024
+BYTES_PER_MB = BYTES_PER_KB * KB_PER_MB
+STATUS_PATH = "/proc/self/statm"
+RESIDENT_PAGES = 1  # index of the field
+
+
+def resident_bytes() -> int:
+    """Return the resident memory, 0 if the system does not tell it."""
+    with contextlib.suppress(OSError, ValueError, IndexError), open(STATUS_PATH, encoding="ascii") as status:
+        return int(status.read().split()[RESIDENT_PAGES]) * resource.getpagesize()
+    return 0
--- a/badgerroad/serving.py
+++ b/badgerroad/serving.py
@@ -18,6 +18,7 @@
 from badgerroad.config import Config, ConfigError, check_config, load, parse, read_config_file, reload
 from badgerroad.dispatcher import Dispatcher
 from badgerroad.errors import ListenError
+from badgerroad.memory_monitor import MemoryMonitor
 from badgerroad.net import logs
 from badgerroad.net.socket_stream import Address
 from badgerroad.net.timer_wheel import Clock, TimerWheel
@@ -99,6 +100,7 @@
         self._wheel = TimerWheel(Clock(), IOLoop.current())
         self._dispatcher, self._admin = assemble(config, self._wheel, counted=parameters is not None)
         apply_limits(self._dispatcher, operator)
+        self._memory_monitor = MemoryMonitor(self._dispatcher, self._wheel)
         self._quotas = join_fleet(self._dispatcher, operator, operator_file)
         self._hot_restart: HotRestart | None = None
         self._server_process: ServerProcess | None = None
@@ -108,6 +110,7 @@
     async def run(self) -> int:
         """Serve until a signal ends the process; return the exit code. Raises ListenError."""
         self._install_signals()
+        self._memory_monitor.start()
         self._start_admin()
         if self._server_process is not None and not await self._permitted_to_listen(self._server_process):
             return ExitCode.OK
@@ -209,7 +212,14 @@
     def _close_with(self, resources: contextlib.ExitStack) -> None:
         """Register the components to be closed at the end, in reverse order: quota leases are returned first, while all
         other components still work."""
-        for resource in (self._dispatcher, self._server_process, self._hot_restart, self._admin, self._quotas):
+        for resource in (
+            self._dispatcher,
+            self._server_process,
+            self._hot_restart,
+            self._admin,
+            self._quotas,
+            self._memory_monitor,
+        ):
             if resource is not None:
                 resources.callback(resource.close)
 
--- a/tests/multiprocess/test_multiprocess.py
+++ b/tests/multiprocess/test_multiprocess.py
@@ -129,6 +129,9 @@
             "current": 3,
             "cluster_size": 10 + n,
             "cluster_unhealthy": 1,
+            "clients": 2 * n,
+            "resident_kb": 1_000 * n,
+            "memory_limit_kb": 500,
             **changes,
         }
 
@@ -146,6 +149,9 @@
         "current": 6,
         "cluster_size": 15,
         "cluster_unhealthy": 1,
+        "clients": 12,
+        "resident_kb": 6_000,
+        "memory_limit_kb": 1_000,
     }
 
 
