Connections: one that has ended is freed at once, with its buffers

Cause: `end_gracefully` started a timer with the bound method `close` and kept no handle. Until it fired, a second later, the timer wheel held the connection, its parser and up to 80 KB of receive buffer, also if the client had closed at once. So memory grew with the rate of ended connections, not with the descriptors. An open request whose client had left held the connection too, by its exchange.

Change: the timer belongs to the connection, which cancels it when it closes; a connection drops what it has received when it begins to linger; an exchange that is over releases its connection.

--- a/badgerroad/frontend/client.py
+++ b/badgerroad/frontend/client.py
@@ -64,6 +64,7 @@
         self._closing = False  # the connection ends after the response that is due or being written
         self._discarded_bytes = 0  # number of bytes received after the open request and discarded
         self._continue_sent = False
+        self._linger_timer: Timer | None = None
         self._start_request_timer(REQUEST_TIMEOUT_US)
 
     @property
@@ -252,9 +253,11 @@
             return
         self._cancel_request_timer()
         self.lingering = True
+        self.pipelined_request = None
+        self.parser.clear()
         self.update_reading()
         self.last_activity_at = self.owner.timers.clock.now()
-        self.owner.timers.after(LINGER_TIME_US, self.close)
+        self._linger_timer = self.owner.timers.after(LINGER_TIME_US, self.close)
         if self.all_written:
             self._shut_down_writing()
 
@@ -269,12 +272,15 @@
         exchange = self.exchange
         self.exchange = None
         if exchange is not None and not exchange.answered:
-            exchange.answered = True
+            exchange.abandon()
             self.owner.request_handler.client_disconnected(exchange)
 
     def on_closed(self) -> None:
         """Remove the connection from its owner and report an open request as abandoned."""
         self._cancel_request_timer()
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
+        self.pipelined_request = None
         self.owner.connections.discard(self)
         self._abandon_exchange()
 
--- a/badgerroad/frontend/exchange.py
+++ b/badgerroad/frontend/exchange.py
@@ -24,11 +24,11 @@
 class Exchange:
     """One request of a client, which gets exactly one final response."""
 
-    __slots__ = ("connection", "answered", "number")
+    __slots__ = ("_connection", "answered", "number")
 
     def __init__(self, connection: RespondingConnection) -> None:
         """Create the exchange of a request; `number` is 0 until the dispatcher admits the request and numbers it."""
-        self.connection = connection
+        self._connection: RespondingConnection | None = connection  # None once the exchange is over
         self.answered = False
         self.number = 0
 
@@ -36,17 +36,24 @@
         self, status: int, body: bytes = b"", headers: Iterable[tuple[bytes, bytes]] = (), close: bool = False
     ) -> None:
         """Send the final response; later calls have no effect. With `close`, the connection ends after it."""
-        if not self.answered:
-            self.answered = True
-            self.connection.respond(status, body, headers, close)
+        connection = self._connection
+        self.abandon()
+        if connection is not None:
+            connection.respond(status, body, headers, close)
+
+    def abandon(self) -> None:
+        """End the exchange without a response: its client has gone, or another process responds."""
+        self.answered = True
+        self._connection = None
 
     def client_has_closed(self) -> bool:
         """Whether the client has closed its side, even if this has not been read from the socket yet."""
-        return self.connection.peer_has_closed()
+        return self._connection is None or self._connection.peer_has_closed()
 
     def close(self) -> None:
         """Close the connection of the client, which gets no response."""
-        self.connection.close()
+        if self._connection is not None:
+            self._connection.close()
 
 
 class RequestHandler(Protocol):
--- a/badgerroad/hot_restart/request_transfer.py
+++ b/badgerroad/hot_restart/request_transfer.py
@@ -88,7 +88,7 @@
     for attempt in request.attempts:
         dispatcher.backend.release_attempt(attempt)
     state.withdraw_request(dispatcher.decisions, request.number)
-    request.exchange.answered = True
+    request.exchange.abandon()
     request.open_attempts = 0
     if dispatcher.counts:
         dispatcher.counts.open_requests -= 1
--- a/badgerroad/net/connection.py
+++ b/badgerroad/net/connection.py
@@ -195,6 +195,8 @@
         self.descriptors.used -= 1
         self.stream.close()
         self.on_closed()
+        self.parser.clear()
+        self.send_buffer.clear()
 
     def peer_has_sent(self) -> bool:
         """Whether data or a close is unread on the socket, even if the event loop has not noticed it yet."""
--- a/badgerroad/net/http1.py
+++ b/badgerroad/net/http1.py
@@ -122,6 +122,12 @@
         """Whether no part of the next message has arrived."""
         return self.head is None and not len(self.buffer)
 
+    def clear(self) -> None:
+        """Drop the incomplete message and the buffer's bytes; no further message can be parsed."""
+        self.head = None
+        self._chunks = bytearray()
+        self.buffer.clear()
+
     def next_message(self) -> Message | None:
         """Return the next message, or None if it is incomplete. Raises BadMessageError."""
         if self.head is None and not self._read_head():
@@ -167,6 +173,7 @@
     def _complete(self, body: bytes) -> Message:
         message = self.head
         self.head = None
+        self._chunks = bytearray()
         if message is None:
             raise RuntimeError("body completed without a parsed head")
         message.body = body
@@ -186,7 +193,6 @@
                 _parse_status_line(first_line, headers) if self.responses else _parse_request_line(first_line, headers)
             )
             self._length = self._body_length(head)
-            self._chunks = bytearray()
             self._chunk_remaining = _AT_SIZE_LINE
             if not self.responses or head.status >= 200:
                 self.head = head
--- a/badgerroad/net/ring_buffer.py
+++ b/badgerroad/net/ring_buffer.py
@@ -120,6 +120,11 @@
         self._count -= count
         self._head = (self._head + count) % len(self._data)
 
+    def clear(self) -> None:
+        """Remove all bytes and reduce the buffer to its initial capacity."""
+        self._count = 0
+        self.shrink()
+
     def shrink(self) -> None:
         """Reduce an empty buffer to its initial capacity."""
         if not self._count and len(self._data) > self.initial_capacity:
