Memory budget: the bytes of all messages have one limit, from limits.memory_mb

Cause: what one connection may hold was bounded, and the number of connections by descriptors, but the product of both is several times the limit, and nothing added it up. `limits.memory_mb` was not read.

Change: MemoryPlan divides the limit into processes (two where upgrades are possible), connections and messages. MemoryBudget counts the bytes in accounts of connections (buffers, parsed heads, decoded chunks, a request read early, unsent responses) and of open requests. When it is used up, MemoryRelief gives up responses that are unread 0.6 s after their deadlines, rejects incomplete requests that rest with 503, the longest resting first, rejects large ones that go on, and leaves unread what comes behind an open request. A complete request is kept. The bytes of an attempt are not kept until its response. With little memory fewer connections are taken. One log line when memory becomes short, one when it has recovered; metrics messages_kb and messages_limit_kb.

--- a/badgerroad/admin/listener.py
+++ b/badgerroad/admin/listener.py
@@ -15,6 +15,8 @@
 from badgerroad.net import http1
 from badgerroad.net.connection import Connection
 from badgerroad.net.descriptor_budget import DescriptorBudget
+from badgerroad.net.http1 import HEADER_LIMIT
+from badgerroad.net.memory_budget import MemoryBudget
 from badgerroad.net.socket_stream import Address
 from badgerroad.net.timer_wheel import TimerWheel
 
@@ -38,7 +40,7 @@
 
     def __init__(self, sock: socket.socket, listener: Listener) -> None:
         """Take ownership of `sock`, unless OSError is raised."""
-        super().__init__(sock, listener.descriptors, responses=False, body_limit=BODY_LIMIT_BYTES)
+        super().__init__(sock, listener.descriptors, listener.memory, responses=False, body_limit=BODY_LIMIT_BYTES)
         self.listener = listener
         self.answered = False  # a response has been sent, possibly an error
         self.connected_at = listener.timers.clock.now()
@@ -99,6 +101,7 @@
         self.descriptors = DescriptorBudget(
             MAX_CONNECTIONS + DescriptorBudget.RESERVE
         )  # separate from the budget of clients and attempts
+        self.memory = MemoryBudget(MAX_CONNECTIONS * (HEADER_LIMIT + BODY_LIMIT_BYTES))  # separate for the same reason
         self.connections: dict[AdminConnection, None] = {}  # open connections, oldest first
         self._socket: socket.socket | None = None
         self._loop = IOLoop.current()
--- a/badgerroad/backend/attempts.py
+++ b/badgerroad/backend/attempts.py
@@ -47,6 +47,11 @@
         self.unconfirmed_workers: set[str] = set()
         self.job_events = JobEventHistory()
 
+    @property
+    def memory_size(self) -> int:
+        """About how many bytes of memory the request takes."""
+        return http1.headers_memory_size(self.headers) + len(self.target) + len(self.body)
+
 
 class Attempt:
     """The state of one attempt. All times are in microseconds of the clock."""
--- a/badgerroad/backend/http.py
+++ b/badgerroad/backend/http.py
@@ -23,6 +23,7 @@
 from badgerroad.net.background_tasks import spawn
 from badgerroad.net.call_connection import CallConnection, ConnectionBrokenError, LocalNetworkError, NoDescriptorError
 from badgerroad.net.descriptor_budget import DescriptorBudget
+from badgerroad.net.memory_budget import MemoryBudget
 from badgerroad.net.socket_stream import Address
 from badgerroad.net.timer_wheel import TimerWheel
 
@@ -50,6 +51,7 @@
         self,
         timers: TimerWheel,
         descriptors: DescriptorBudget,
+        memory: MemoryBudget,
         settings: interface.Settings,
         attempt_ended: AttemptEndedCallback,
         raise_event: Callable[[interface.Event], None],
@@ -66,7 +68,7 @@
         self.settings = settings
         self.attempts: dict[tuple[bytes, str], Attempt] = {}
         self.reports = LoadReportParser(settings.load_report_fields)
-        self.pools = ConnectionPools(timers, descriptors, settings, free_descriptors)
+        self.pools = ConnectionPools(timers, descriptors, memory, settings, free_descriptors)
         self._cancels = Cancels(self.pools)
         self.health_checks = HealthChecks(self.pools, self.reports, raise_event)
         self._job_events = JobEvents(timers, self.reports, raise_event, self._end)
@@ -169,20 +171,23 @@
         """Send the request and wait for the response, for `accept_timeout` microseconds at most (0: no limit)."""
         forwarded = attempt.forwarded
         remaining_ms = max((deadline - self.timers.clock.now()) // 1000, 1)
-        data = http1.request(
-            forwarded.method,
-            forwarded.target,
-            worker.authority,
-            [*forwarded.headers, (b"Request-Timeout-Ms", b"%d" % remaining_ms)],
-            forwarded.body,
-        )
         attempt.written = True
         log.info("attempt_begun", **attempt.log_fields, opened=int(attempt.opened_connection))
+        response = connection.call(
+            http1.request(
+                forwarded.method,
+                forwarded.target,
+                worker.authority,
+                [*forwarded.headers, (b"Request-Timeout-Ms", b"%d" % remaining_ms)],
+                forwarded.body,
+            ),
+            self._on_sent,
+        )
         if not accept_timeout:
-            return await connection.call(data, self._on_sent)
+            return await response
         timer = self.timers.after(accept_timeout, lambda: self._not_accepted(attempt, worker), awaits_peer=True)
         try:
-            return await connection.call(data, self._on_sent)
+            return await response
         finally:
             timer.cancel()
 
--- a/badgerroad/backend/worker_connections.py
+++ b/badgerroad/backend/worker_connections.py
@@ -11,6 +11,7 @@
 from badgerroad.net import http1
 from badgerroad.net.call_connection import CallConnection, ConnectionBrokenError, LocalNetworkError, NoDescriptorError
 from badgerroad.net.descriptor_budget import DescriptorBudget
+from badgerroad.net.memory_budget import MemoryBudget
 from badgerroad.net.socket_stream import Address
 from badgerroad.net.timer_wheel import Timer, TimerWheel
 
@@ -71,12 +72,14 @@
         self,
         timers: TimerWheel,
         descriptors: DescriptorBudget,
+        memory: MemoryBudget,
         settings: interface.Settings,
         free_descriptors: Callable[[], None],
     ) -> None:
         """Create the pools without workers; `free_descriptors` closes clients' connections in favour of an attempt."""
         self.timers = timers
         self.descriptors = descriptors
+        self.memory = memory
         self.settings = settings
         self.workers: dict[str, WorkerConnections] = {}
         self.successor: ConnectionSuccessor | None = None  # set while another process receives the new requests
@@ -146,7 +149,7 @@
         if self.descriptors.exhausted:
             raise NoDescriptorError(False, "no file descriptor is free for a connection to a worker")
         try:
-            return CallConnection(self.descriptors)
+            return CallConnection(self.descriptors, self.memory)
         except OSError as error:
             raise LocalNetworkError(False, f"cannot create a socket for a connection to a worker: {error}") from error
 
@@ -202,7 +205,7 @@
             sock.close()
             return
         sock.setblocking(False)
-        self._add_idle(worker, CallConnection(self.descriptors, sock=sock, address=address), idle_us)
+        self._add_idle(worker, CallConnection(self.descriptors, self.memory, sock=sock, address=address), idle_us)
 
     def close_idle(self, name: str) -> None:
         """Close the idle connections to worker `name`."""
--- a/badgerroad/discovery/discovery_calls.py
+++ b/badgerroad/discovery/discovery_calls.py
@@ -15,6 +15,7 @@
 from badgerroad.net.background_tasks import spawn
 from badgerroad.net.call_connection import CallConnection, ConnectionBrokenError, NoDescriptorError
 from badgerroad.net.descriptor_budget import DescriptorBudget
+from badgerroad.net.memory_budget import MemoryBudget
 from badgerroad.net.socket_stream import Address
 from badgerroad.net.timer_wheel import Timer, TimerWheel
 
@@ -91,6 +92,7 @@
         """`on_answered` or `on_failed` is called once for each call, also for a late one and for an abandoned one."""
         self._wheel = wheel
         self._descriptors = descriptors
+        self._memory = MemoryBudget(MAX_OPEN_CALLS * WIRE_LIST_LIMIT_BYTES)  # its own: a list must always be received
         self._reader = reader
         self._on_answered = on_answered
         self._on_failed = on_failed
@@ -191,6 +193,6 @@
                 return idle
             idle.close()
         try:
-            return CallConnection(self._descriptors, WIRE_LIST_LIMIT_BYTES)
+            return CallConnection(self._descriptors, self._memory, WIRE_LIST_LIMIT_BYTES)
         except OSError as error:
             raise NoDescriptorError(False, f"no file descriptor for a connection to discovery: {error}") from error
--- a/badgerroad/dispatcher/attempts.py
+++ b/badgerroad/dispatcher/attempts.py
@@ -16,6 +16,7 @@
 from badgerroad.load_balancing import interface
 from badgerroad.net import http1, logs
 from badgerroad.net.descriptor_budget import DescriptorBudget
+from badgerroad.net.memory_budget import MemoryBudget
 from badgerroad.net.timer_wheel import TimerWheel
 from badgerroad.requests import OpenRequest
 
@@ -35,6 +36,7 @@
         self,
         wheel: TimerWheel,
         descriptors: DescriptorBudget,
+        memory: MemoryBudget,
         settings: ActiveSettings,
         host: DecisionHost,
         requests: OpenRequests,
@@ -54,6 +56,7 @@
         self.backend = Backend(
             wheel,
             descriptors,
+            memory,
             settings.current,
             self._ended,
             host.handle_event,
--- a/badgerroad/dispatcher/core.py
+++ b/badgerroad/dispatcher/core.py
@@ -22,6 +22,7 @@
 from badgerroad.load_balancing.policy import DispatchPolicy
 from badgerroad.net import logs
 from badgerroad.net.descriptor_budget import DescriptorBudget
+from badgerroad.net.memory_budget import MemoryBudget, MemoryPlan
 from badgerroad.net.process_memory import BYTES_PER_KB, KB_PER_MB, resident_bytes
 from badgerroad.net.socket_stream import Address
 from badgerroad.net.timer_wheel import TimerWheel
@@ -45,13 +46,16 @@
         self.wheel = wheel
         self.clock = wheel.clock
         self.counts = counts
-        self.descriptors = DescriptorBudget(config.max_sockets, reserved_descriptors)
+        self.memory_plan = MemoryPlan.divide(config.memory_mb, config.max_sockets, upgrades=config.admin is not None)
+        self.descriptors = DescriptorBudget(self.memory_plan.connections, reserved_descriptors)
+        self.memory = MemoryBudget(self.memory_plan.message_bytes)
         self.decisions = DispatchPolicy(config.settings, config.seed)
         self._active = ActiveSettings(config.settings)
         self._extensions = Extensions()
         self._shutdown = ShutdownDeadline(wheel.clock)
         self._requests = OpenRequests(
             wheel,
+            self.memory,
             self._extensions,
             counts,
             lambda request: self._host.handle_event(interface.RequestOverdue(request.number)),
@@ -74,6 +78,7 @@
         attempts = Attempts(
             wheel,
             self.descriptors,
+            self.memory,
             self._active,
             self._host,
             self._requests,
@@ -94,7 +99,7 @@
             self._shutdown,
             counts,
         )
-        self.frontend = Frontend(wheel, self.descriptors, self.intake)
+        self.frontend = Frontend(wheel, self.descriptors, self.memory, self.intake)
         self._host.set_action_handlers(self._action_handlers(attempts))
 
     def _action_handlers(self, attempts: Attempts) -> ActionHandlers:
@@ -203,6 +208,8 @@
             "clients": len(self.frontend.connections),
             "resident_kb": resident_bytes() // BYTES_PER_KB,
             "memory_limit_kb": int(self.config.memory_mb * KB_PER_MB),
+            "messages_kb": self.memory.used // BYTES_PER_KB,
+            "messages_limit_kb": self.memory.limit // BYTES_PER_KB,
         }
 
     def next_request_number(self) -> int:
--- a/badgerroad/dispatcher/intake.py
+++ b/badgerroad/dispatcher/intake.py
@@ -126,6 +126,7 @@
             now_us + event.time_left,
         )
         request_class = self._settings.current.classes[event.class_index]
+        exchange.deadline = forwarded.deadline
         request = OpenRequest(event.request, forwarded, exchange, request_class, now_us)
         request.work_hint = event.work_hint
         request.slots = event.slots
--- a/badgerroad/dispatcher/open_requests.py
+++ b/badgerroad/dispatcher/open_requests.py
@@ -8,6 +8,7 @@
 from badgerroad import request_log
 from badgerroad.dispatcher.extensions import Extensions
 from badgerroad.net import http1
+from badgerroad.net.memory_budget import MemoryBudget
 from badgerroad.net.timer_wheel import TimerWheel
 from badgerroad.requests import OpenRequest
 
@@ -21,6 +22,7 @@
     def __init__(
         self,
         wheel: TimerWheel,
+        memory: MemoryBudget,
         extensions: Extensions,
         counts: Counters | None,
         on_overdue: Callable[[OpenRequest], None],
@@ -30,6 +32,7 @@
         self.by_number: dict[int, OpenRequest] = {}
         self.by_id: dict[bytes, OpenRequest] = {}
         self._wheel = wheel
+        self._memory = memory
         self._extensions = extensions
         self._counts = counts
         self._on_overdue = on_overdue
@@ -61,6 +64,8 @@
         passed to `on_overdue`, and answered with 504 if it has none after that."""
         self.by_number[request.number] = request
         self.by_id[request.forwarded.id] = request
+        request.memory = self._memory.account()
+        request.memory.resize(request.forwarded.memory_size)
         if self._counts:
             self._counts.request_admitted()
         time_left_us = request.forwarded.deadline - self._wheel.clock.now() - tick_us
@@ -99,6 +104,8 @@
             request.deadline_timer.cancel()
         if request.open_attempts:
             return
+        if request.memory is not None:
+            request.memory.resize(0)
         self.by_number.pop(request.number, None)
         if self.by_id.pop(request.forwarded.id, None):
             for extension in self._extensions.active:
--- a/badgerroad/frontend/client.py
+++ b/badgerroad/frontend/client.py
@@ -10,6 +10,7 @@
 from badgerroad.net import http1, logs
 from badgerroad.net.connection import Connection
 from badgerroad.net.descriptor_budget import DescriptorBudget
+from badgerroad.net.memory_budget import MemoryBudget
 from badgerroad.net.timer_wheel import Timer, TimerWheel
 
 log = logs.get("badgerroad")
@@ -27,21 +28,42 @@
 # client from which more bytes arrive is still sending; it has not merely disconnected and left unread data.
 DISCARD_LIMIT_BYTES = 16 * 1024 * 1024
 
+# A connection that holds no more bytes may always store what its client sends, so that small requests are served while
+# memory is short.
+SMALL_REQUEST_BYTES = 4 * 1024
+# After this time beyond the deadline of its request, a response that the client has not read is of no use to it.
+UNREAD_RESPONSE_GRACE_US = 600_000
+RETRY_SOON = [(b"Retry-After", b"1")]
+
 # Transfers a client's connection to another process, given its descriptor, the state that `restore` needs there, the
 # bytes that were read but not parsed, and the open exchange if there is one. Returns False if this is not possible now.
 ConnectionSuccessor = Callable[[int, dict[str, Any], bytes, Exchange | None], bool]
 
 
+class MemoryProvider(Protocol):
+    """The interface through which a client's connection gets memory for what its client sends."""
+
+    paused: set[ClientConnection]
+
+    def make_room(self) -> bool:
+        """Whether incomplete requests may take more memory; frees memory if it is short."""
+
+
 class ConnectionOwner(Protocol):
     """The interface through which a client's connection uses the frontend that has accepted it."""
 
     timers: TimerWheel
     descriptors: DescriptorBudget
+    memory: MemoryBudget
     request_handler: RequestHandler
     connections: set[ClientConnection]
     draining: bool
     successor: ConnectionSuccessor | None
 
+    @property
+    def memory_relief(self) -> MemoryProvider:
+        """Provides memory for what clients send."""
+
     def handle(self, message: http1.Message, exchange: Exchange) -> None:
         """Handle a complete request."""
 
@@ -54,7 +76,7 @@
 
         Raises OSError if the socket cannot be used.
         """
-        super().__init__(sock, owner.descriptors, responses=False)
+        super().__init__(sock, owner.descriptors, owner.memory, responses=False)
         self.owner = owner
         self.exchange: Exchange | None = None
         self.pipelined_request: http1.Message | None = None  # the next request, read while the previous one is open
@@ -65,6 +87,7 @@
         self._discarded_bytes = 0  # number of bytes received after the open request and discarded
         self._continue_sent = False
         self._linger_timer: Timer | None = None
+        self._response_due_at = 0  # when the client no longer waits for the response that is being written
         self._start_request_timer(REQUEST_TIMEOUT_US)
 
     @property
@@ -111,6 +134,53 @@
         """
         return not self.lingering, self.served, self.last_activity_at
 
+    # Memory.
+
+    def _queue(self, request: http1.Message | None) -> None:
+        self.pipelined_request = request
+        self.queued_bytes = request.memory_size if request is not None else 0
+
+    def may_store(self) -> bool:
+        """Whether there is memory for more bytes.
+
+        If not, an incomplete request is rejected. What arrives behind an open request, or until the connection is
+        passed to another process, is left unread.
+        """
+        if self.memory.size <= SMALL_REQUEST_BYTES or self.owner.memory_relief.make_room():
+            return True
+        if self.closed or self.lingering:
+            return False
+        if self.exchange is None and self.owner.successor is None:
+            self.reject_incomplete()
+        else:
+            self.owner.memory_relief.paused.add(self)
+            self.stream.ignore_reads()
+        return False
+
+    def check_paused(self) -> None:
+        """Close the connection if its client has left, and read on if there is memory; called periodically."""
+        if self.peer_has_closed():
+            self.close()
+        elif self.exchange is None or self.owner.memory_relief.make_room():
+            self.owner.memory_relief.paused.discard(self)
+            self.update_reading()
+
+    def holds_idle_request(self, now: int) -> bool:
+        """Whether a part of a request takes memory, and none of it has arrived for a while."""
+        has_part = self.memory.size > SMALL_REQUEST_BYTES and not self.lingering
+        return has_part and not self.has_pending_response and now - self.last_activity_at >= EVICTION_GRACE_US
+
+    def has_overdue_response(self, now: int) -> bool:
+        """Whether the client has left a response unread until after the deadline of its request."""
+        return not self.all_written and now > self._response_due_at + UNREAD_RESPONSE_GRACE_US
+
+    def reject_incomplete(self) -> None:
+        """Reject the incomplete request because memory is short, and end the connection."""
+        head = self.parser.head
+        if head is not None and self.owner.request_handler.serves_path(head.path):
+            self.owner.request_handler.record_rejection(head.path)
+        self._end_with(503, b"too little memory for the rest of the request\n", RETRY_SOON)
+
     # Requests.
 
     def wants_message(self) -> bool:
@@ -132,7 +202,7 @@
         if self.exchange is None or self.owner.successor is not None:
             return False
         self._closing = True
-        self.pipelined_request = None
+        self._queue(None)
         return True
 
     def on_discarded(self, count: int) -> None:
@@ -186,7 +256,7 @@
     def on_message(self, message: http1.Message) -> None:
         """Pass a complete request to the owner, or store it until the open request has its response."""
         if self.exchange is not None:
-            self.pipelined_request = message
+            self._queue(message)
             return
         self._cancel_request_timer()
         self._continue_sent = False
@@ -200,13 +270,19 @@
 
     def on_bad_message(self, error: http1.BadMessageError) -> None:
         """Respond with the error, in place of the response to the open request if any, and end the connection."""
+        self._end_with(error.status, str(error).encode() + b"\n")
+
+    def _end_with(self, status: int, body: bytes, headers: Iterable[tuple[bytes, bytes]] = ()) -> None:
         self._closing = True
         self._abandon_exchange()
-        self.send(http1.response(error.status, str(error).encode() + b"\n", close=True))
+        self._response_due_at = self.owner.timers.clock.now()
+        self.send(http1.response(status, body, headers, close=True))
         self.end_gracefully()
 
     def respond(self, status: int, body: bytes, headers: Iterable[tuple[bytes, bytes]], close: bool) -> None:
         """Send the response to the open request; with `close` or a 4xx status the connection then ends."""
+        now = self.owner.timers.clock.now()
+        self._response_due_at = max(self.exchange.deadline, now) if self.exchange is not None else now
         self.exchange = None
         self.served = True
         draining = self.owner.draining and self.owner.successor is None
@@ -231,7 +307,7 @@
         message = None
         if self.exchange is None:
             message = self.pipelined_request
-            self.pipelined_request = None
+            self._queue(None)
         try:
             if message is not None and not self.closed:
                 self.on_message(message)
@@ -253,8 +329,8 @@
             return
         self._cancel_request_timer()
         self.lingering = True
-        self.pipelined_request = None
-        self.parser.clear()
+        self._queue(None)
+        self.drop_received()
         self.update_reading()
         self.last_activity_at = self.owner.timers.clock.now()
         self._linger_timer = self.owner.timers.after(LINGER_TIME_US, self.close)
@@ -280,7 +356,8 @@
         self._cancel_request_timer()
         if self._linger_timer is not None:
             self._linger_timer.cancel()
-        self.pipelined_request = None
+        self.owner.memory_relief.paused.discard(self)
+        self._queue(None)
         self.owner.connections.discard(self)
         self._abandon_exchange()
 
@@ -295,7 +372,7 @@
         if self.pipelined_request is not None:
             data = http1.serialize_request(self.pipelined_request) + data
         if successor(self.stream.socket.fileno(), self._state(), data, self.exchange):
-            self.pipelined_request = None
+            self._queue(None)
             self.exchange = None
             self.close()  # the successor has a copy of the descriptor
 
--- a/badgerroad/frontend/eviction.py
+++ b/badgerroad/frontend/eviction.py
@@ -1,4 +1,4 @@
-"""Ends connections of clients when descriptors are scarce, in the order of their eviction sort key."""
+"""Ends connections of clients when descriptors or memory are scarce."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 
 from badgerroad.frontend.client import ClientConnection
 from badgerroad.net.descriptor_budget import DescriptorBudget
+from badgerroad.net.memory_budget import MemoryBudget
 
 
 def end_idle(
@@ -50,3 +51,21 @@
         elif not connection.peer_has_sent():
             connection.end_gracefully()  # the client sees a regular end, not a reset
             connection.close()  # no lingering: the descriptor is needed now
+
+
+def free_memory(connections: Iterable[ClientConnection], memory: MemoryBudget, now: int) -> None:
+    """End connections until enough memory is free, as far as no request is lost.
+
+    Responses that their clients have left unread beyond their deadlines come first, then incomplete requests, the
+    longest inactive ones first. Requests that have been received completely are kept.
+    """
+    connections = list(connections)
+    for connection in connections:
+        if connection.has_overdue_response(now):
+            connection.close()
+    incomplete = [connection for connection in connections if connection.holds_idle_request(now)]
+    for connection in sorted(incomplete, key=lambda connection: connection.last_activity_at):
+        if memory.has_headroom:
+            break
+        if not connection.peer_has_sent():
+            connection.reject_incomplete()
--- a/badgerroad/frontend/exchange.py
+++ b/badgerroad/frontend/exchange.py
@@ -24,13 +24,18 @@
 class Exchange:
     """One request of a client, which gets exactly one final response."""
 
-    __slots__ = ("_connection", "answered", "number")
+    __slots__ = ("_connection", "answered", "number", "deadline")
 
     def __init__(self, connection: RespondingConnection) -> None:
-        """Create the exchange of a request; `number` is 0 until the dispatcher admits the request and numbers it."""
+        """Create the exchange of a request.
+
+        `number` is 0 until the dispatcher admits the request and numbers it; `deadline`, in microseconds of the clock,
+        is 0 until then too.
+        """
         self._connection: RespondingConnection | None = connection  # None once the exchange is over
         self.answered = False
         self.number = 0
+        self.deadline = 0
 
     def answer(
         self, status: int, body: bytes = b"", headers: Iterable[tuple[bytes, bytes]] = (), close: bool = False
--- a/badgerroad/frontend/http.py
+++ b/badgerroad/frontend/http.py
@@ -10,8 +10,10 @@
 from badgerroad.frontend.client import ClientConnection, ConnectionSuccessor
 from badgerroad.frontend.exchange import Exchange, RequestHandler
 from badgerroad.frontend.listener import Listener, open_socket
+from badgerroad.frontend.memory_relief import MemoryRelief
 from badgerroad.net import http1
 from badgerroad.net.descriptor_budget import DescriptorBudget
+from badgerroad.net.memory_budget import MemoryBudget
 from badgerroad.net.socket_stream import Address
 from badgerroad.net.timer_wheel import TimerWheel
 
@@ -25,16 +27,24 @@
 class Frontend:
     """Accepts connections of clients and passes their requests to a request handler."""
 
-    def __init__(self, timers: TimerWheel, descriptors: DescriptorBudget, request_handler: RequestHandler) -> None:
+    def __init__(
+        self,
+        timers: TimerWheel,
+        descriptors: DescriptorBudget,
+        memory: MemoryBudget,
+        request_handler: RequestHandler,
+    ) -> None:
         """Create a frontend that accepts nothing before `listen`, or `adopt_listener` and `start_accepting`."""
         self.timers = timers
         self.descriptors = descriptors
+        self.memory = memory
         self.request_handler = request_handler
         self.connections: set[ClientConnection] = set()
         self.draining = False
         self.successor: ConnectionSuccessor | None = None  # set while another process receives the new requests
         self.serving = False  # this process serves new connections, even while the listener is paused
         self._shutdown_started_at: int | None = None
+        self.memory_relief = MemoryRelief(timers.clock, memory, self.connections)
         self._listener = Listener(
             timers, self._before_batch, self._has_descriptor, self._on_accepted, self._accept_after_pause
         )
@@ -145,11 +155,16 @@
         if self.descriptors.nearly_exhausted:
             self.free_descriptors()
         if self.descriptors.nearly_exhausted:
-            self.request_handler.record_rejection(message.path)
-            exchange.answer(503, b"too many connections\n", [(b"Retry-After", b"1")], close=True)
+            self._reject(message, exchange, b"too many connections\n")
+        elif self.memory.exhausted:
+            self._reject(message, exchange, b"too little memory\n")
         else:
             self.request_handler.handle_request(message, exchange)
 
+    def _reject(self, message: http1.Message, exchange: Exchange, reason: bytes) -> None:
+        self.request_handler.record_rejection(message.path)
+        exchange.answer(503, reason, client.RETRY_SOON, close=True)
+
     # Transfer to another process of the same dispatcher.
 
     def adopt_connection(
--- a/badgerroad/hot_restart/request_transfer.py
+++ b/badgerroad/hot_restart/request_transfer.py
@@ -103,6 +103,7 @@
     request_class = state.request_class_from_values(fields["cls"])
     request = OpenRequest(dispatcher.next_request_number(), forwarded, exchange, request_class, now + fields["begun"])
     exchange.number = request.number
+    exchange.deadline = forwarded.deadline
     request.work_hint = fields["hint"]
     request.slots = fields["slots"]
     request.admitted = True
--- a/badgerroad/memory_monitor.py
+++ b/badgerroad/memory_monitor.py
@@ -1,4 +1,4 @@
-"""Watches the resident memory of this process, and logs when it comes near the limit and when it has recovered."""
+"""Watches the resident memory of this process: logs when it is high, and lets the frontend free memory for messages."""
 
 from __future__ import annotations
 
@@ -37,6 +37,7 @@
             self._timer.cancel()
 
     def _check(self) -> None:
+        self._dispatcher.frontend.memory_relief.check()
         resident = resident_bytes()
         if resident > self._limit * (NORMAL_FRACTION if self._is_high else HIGH_FRACTION):
             if not self._is_high:
@@ -50,6 +51,7 @@
         return {
             "resident_kb": resident // BYTES_PER_KB,
             "limit_kb": int(self._limit) // BYTES_PER_KB,
+            "messages_kb": self._dispatcher.memory.used // BYTES_PER_KB,
             "clients": len(self._dispatcher.frontend.connections),
             "open_requests": len(self._dispatcher.open_requests),
             "descriptors": self._dispatcher.descriptors.used,
--- a/badgerroad/multiprocess/metric_sums.py
+++ b/badgerroad/multiprocess/metric_sums.py
@@ -11,7 +11,8 @@
 
 COUNTERS_BY_CLASS = ("answered", "deferred", "errored")
 COUNTERS = ("sends",)
-GAUGES = ("current", "clients", "resident_kb", "memory_limit_kb")  # metrics that are summed over the running processes
+# Metrics that are summed over the running processes.
+GAUGES = ("current", "clients", "resident_kb", "memory_limit_kb", "messages_kb", "messages_limit_kb")
 # All server processes see the same fleet, so the largest value that any of them reports is shown.
 LARGEST_GAUGES = ("cluster_size", "cluster_unhealthy")
 
--- a/badgerroad/multiprocess/startup.py
+++ b/badgerroad/multiprocess/startup.py
@@ -44,6 +44,7 @@
         return config._replace(
             admin=None,
             max_sockets=sockets,
+            memory_mb=config.memory_mb / self.size,
             seed=config.seed + (self.number << SEED_SHIFT),
             settings=settings._replace(
                 dispatcher_count=settings.dispatcher_count * self.size,
--- a/badgerroad/net/call_connection.py
+++ b/badgerroad/net/call_connection.py
@@ -11,6 +11,7 @@
 from badgerroad.net.connection import Connection
 from badgerroad.net.descriptor_budget import DescriptorBudget
 from badgerroad.net.http1 import BODY_LIMIT, BadMessageError, Message
+from badgerroad.net.memory_budget import MemoryBudget
 from badgerroad.net.socket_stream import Address
 
 # Errors of `socket` and `connect` that concern this machine, mostly for a moment: it lacks a descriptor, a buffer, a
@@ -70,6 +71,7 @@
     def __init__(
         self,
         descriptors: DescriptorBudget,
+        memory: MemoryBudget,
         body_limit: int = BODY_LIMIT,
         sock: socket.socket | None = None,
         address: Address | None = None,
@@ -81,6 +83,7 @@
         super().__init__(
             sock or socket.socket(socket.AF_INET, socket.SOCK_STREAM),
             descriptors,
+            memory,
             responses=True,
             body_limit=body_limit,
         )
@@ -118,6 +121,7 @@
         self._response = asyncio.get_event_loop().create_future()
         self._on_sent = on_sent
         self.send(data)
+        del data  # not kept until the response
         self._report_sent()  # usually the data has already been written to the socket
         return await self._response
 
--- a/badgerroad/net/connection.py
+++ b/badgerroad/net/connection.py
@@ -13,6 +13,7 @@
 from badgerroad.net import logs
 from badgerroad.net.descriptor_budget import DescriptorBudget
 from badgerroad.net.http1 import BODY_LIMIT, HEADER_LIMIT, MESSAGE_LIMIT, BadMessageError, Message, Parser
+from badgerroad.net.memory_budget import MemoryBudget
 from badgerroad.net.ring_buffer import RingBuffer
 from badgerroad.net.socket_stream import SocketStream
 
@@ -30,7 +31,12 @@
     lingering = False  # this side has ended the connection; bytes that still arrive are discarded
 
     def __init__(
-        self, sock: socket.socket, descriptors: DescriptorBudget, responses: bool, body_limit: int = BODY_LIMIT
+        self,
+        sock: socket.socket,
+        descriptors: DescriptorBudget,
+        memory: MemoryBudget,
+        responses: bool,
+        body_limit: int = BODY_LIMIT,
     ) -> None:
         """Take ownership of `sock`, unless OSError is raised.
 
@@ -39,9 +45,11 @@
         self.stream = SocketStream(sock)
         self.descriptors = descriptors
         descriptors.used += 1
+        self.memory = memory.account()
         self.receive_buffer = RingBuffer(HEADER_LIMIT + body_limit)
         self.send_buffer = RingBuffer(2 * MESSAGE_LIMIT)
         self.parser = Parser(self.receive_buffer, responses, body_limit)
+        self.queued_bytes = 0  # memory of messages that have been parsed and wait on this connection
         self.closed = False
         self.error: OSError | None = None  # the error of the socket that has ended the connection
         self._reports_written = False  # `on_written` is due in the next iteration of the event loop
@@ -60,16 +68,15 @@
         """
         if self.closed:
             return
-        if not self.all_written:
-            self.send_buffer.put(data)
-            return
-        count = self._write(data)
-        if count == len(data):
-            self._report_written_soon()
-        else:
-            self.send_buffer.put(data[count:])
+        if self.all_written:
+            data = data[self._write(data) :]
+            if not data:
+                self._report_written_soon()
+                return
             if self.error is None:
                 self.stream.watch_writes(self._on_writable)
+        self.send_buffer.put(data)
+        self.count_memory()
 
     def _write(self, data: bytes | memoryview) -> int:
         """Write what the kernel takes, and return its length; after an error the connection is closed soon."""
@@ -86,6 +93,7 @@
         if self.all_written:
             self.stream.ignore_writes()
             self.send_buffer.shrink()
+            self.count_memory()
             self.on_written()
 
     def _report_written_soon(self) -> None:
@@ -125,7 +133,7 @@
                 self._discard_after_end()
             elif self.receive_buffer.full:
                 self._discard_excess()
-            else:
+            elif self.may_store():
                 self._receive()
         except BadMessageError as error:
             self.on_bad_message(error)
@@ -183,8 +191,23 @@
                 break
             self.on_message(message)
         self.receive_buffer.shrink()
+        self.count_memory()
         self.update_reading()
 
+    # Memory.
+
+    def count_memory(self) -> None:
+        """Set the size of the memory account to what is held now; called whenever that may have changed."""
+        buffers = self.receive_buffer.extra_capacity + self.send_buffer.extra_capacity
+        size = buffers + self.parser.memory_size + self.queued_bytes
+        if size != self.memory.size and not self.closed:
+            self.memory.resize(size)
+
+    def drop_received(self) -> None:
+        """Drop what has been received and is not needed any more, because this side has ended the connection."""
+        self.parser.clear()
+        self.count_memory()
+
     # Ending the connection.
 
     def close(self) -> None:
@@ -197,6 +220,7 @@
         self.on_closed()
         self.parser.clear()
         self.send_buffer.clear()
+        self.memory.resize(0)
 
     def peer_has_sent(self) -> bool:
         """Whether data or a close is unread on the socket, even if the event loop has not noticed it yet."""
@@ -208,6 +232,10 @@
 
     # For subclasses.
 
+    def may_store(self) -> bool:
+        """Whether there is memory for what the peer has sent; otherwise the subclass has to stop reading."""
+        return True
+
     def discard_when_full(self) -> bool:
         """Whether to discard further bytes while the receive buffer is full, rather than leave them unread."""
         return False
--- a/badgerroad/net/http1.py
+++ b/badgerroad/net/http1.py
@@ -18,6 +18,7 @@
 # Most header fields of a message. A parsed field takes many times the memory of its bytes, so the size of the header
 # alone does not limit the memory of a message.
 MAX_HEADER_FIELDS = 100
+HEADER_FIELD_BYTES = 130  # memory of a parsed field in addition to its text: a tuple and two byte strings
 REASONS = {
     100: "Continue",
     200: "OK",
@@ -72,6 +73,11 @@
 
     __slots__ = ("method", "target", "status", "headers", "body", "close")
 
+    @property
+    def memory_size(self) -> int:
+        """About how many bytes of memory the message takes."""
+        return len(self.target) + headers_memory_size(self.headers) + len(self.body)
+
     def __init__(self, method: bytes, target: bytes, status: int, headers: Headers, version: bytes) -> None:
         """Create a message without a body; `version` and the Connection header determine `close`."""
         self.method = method
@@ -100,6 +106,11 @@
         return values[0] if len(values) == 1 else b",".join(values)
 
 
+def headers_memory_size(headers: Headers) -> int:
+    """Return about how many bytes of memory parsed headers take."""
+    return sum(HEADER_FIELD_BYTES + len(name) + len(value) for name, value in headers)
+
+
 class Parser:
     """Incrementally parses the messages in a ring buffer."""
 
@@ -112,6 +123,7 @@
         self.responses = responses
         self.body_limit = body_limit
         self.head: Message | None = None
+        self.memory_size = 0  # about how many bytes the incomplete message takes in addition to the buffer
         self._scanned = 0  # number of bytes at the start of the buffer without the end of a head or a line
         self._length = 0  # length of the body in bytes, or _CHUNKED or _UNTIL_CLOSE
         self._chunks = bytearray()
@@ -125,6 +137,7 @@
     def clear(self) -> None:
         """Drop the incomplete message and the buffer's bytes; no further message can be parsed."""
         self.head = None
+        self.memory_size = 0
         self._chunks = bytearray()
         self.buffer.clear()
 
@@ -173,6 +186,7 @@
     def _complete(self, body: bytes) -> Message:
         message = self.head
         self.head = None
+        self.memory_size = 0
         self._chunks = bytearray()
         if message is None:
             raise RuntimeError("body completed without a parsed head")
@@ -196,6 +210,7 @@
             self._chunk_remaining = _AT_SIZE_LINE
             if not self.responses or head.status >= 200:
                 self.head = head
+                self.memory_size = len(block) + HEADER_FIELD_BYTES * len(headers)
                 return True
 
     def _take_head(self) -> bytes | None:
@@ -259,6 +274,7 @@
         if chunk[-2:] != b"\r\n":
             raise BadMessageError(400, "a chunk does not end where it says")
         self._chunks += chunk[:-2]
+        self.memory_size += len(chunk)
         self._chunk_remaining = _AT_SIZE_LINE
         return True
 
--- a/badgerroad/net/ring_buffer.py
+++ b/badgerroad/net/ring_buffer.py
@@ -16,6 +16,7 @@
         """Create an empty buffer that can hold up to `limit` bytes."""
         self.limit = limit
         self.initial_capacity = min(initial_capacity, limit)
+        self.extra_capacity = 0  # number of bytes beyond the initial capacity
         self._data = bytearray(self.initial_capacity)
         self._head = 0
         self._count = 0
@@ -127,8 +128,9 @@
 
     def shrink(self) -> None:
         """Reduce an empty buffer to its initial capacity."""
-        if not self._count and len(self._data) > self.initial_capacity:
+        if not self._count and self.extra_capacity:
             self._data = bytearray(self.initial_capacity)
+            self.extra_capacity = 0
             self._head = 0
 
     def _resize(self, size: int) -> None:
@@ -136,4 +138,5 @@
         data = bytearray(size)
         data[: self._count] = self.peek()
         self._data = data
+        self.extra_capacity = size - self.initial_capacity
         self._head = 0
--- a/badgerroad/requests.py
+++ b/badgerroad/requests.py
@@ -11,6 +11,7 @@
 from badgerroad.frontend.exchange import Exchange
 from badgerroad.load_balancing import interface
 from badgerroad.net import http1
+from badgerroad.net.memory_budget import MemoryAccount
 from badgerroad.net.timer_wheel import Timer
 
 # The client's headers that concern only its own connection or its timeout. They are not forwarded to workers.
@@ -59,6 +60,7 @@
         "work_hint",
         "slots",
         "admitted",
+        "memory",
     )
 
     def __init__(
@@ -80,6 +82,7 @@
         self.work_hint = 0
         self.slots = 1.0
         self.deadline_timer: Timer | None = None
+        self.memory: MemoryAccount | None = None  # set when the request is registered
         self.admitted = False  # True once the request has been passed to the dispatch policy
 
 
--- a/tests/hot_restart/test_bytes_in_transit.py
+++ b/tests/hot_restart/test_bytes_in_transit.py
@@ -14,6 +14,7 @@
 
 from badgerroad.net.connection import Connection
 from badgerroad.net.descriptor_budget import DescriptorBudget
+from badgerroad.net.memory_budget import MemoryBudget
 from tests.hot_restart.test_takeover import with_second_process
 from tests.support.loopback import World, async_test, id_of, job, read_message, serve, until
 
@@ -72,7 +73,7 @@
 @async_test
 async def test_each_byte_that_has_left_the_socket_is_in_the_parser_in_any_iteration_of_the_event_loop():
     peer, sock = socket.socketpair()
-    connection = Connection(sock, DescriptorBudget(100), responses=False)
+    connection = Connection(sock, DescriptorBudget(100), MemoryBudget(1_000_000), responses=False)
     connection.start_reading()
     for _ in range(3):
         await asyncio.sleep(0)  # the connection waits for bytes
--- a/tests/multiprocess/test_multiprocess.py
+++ b/tests/multiprocess/test_multiprocess.py
@@ -132,6 +132,8 @@
             "clients": 2 * n,
             "resident_kb": 1_000 * n,
             "memory_limit_kb": 500,
+            "messages_kb": 10 * n,
+            "messages_limit_kb": 50,
             **changes,
         }
 
@@ -152,6 +154,8 @@
         "clients": 12,
         "resident_kb": 6_000,
         "memory_limit_kb": 1_000,
+        "messages_kb": 60,
+        "messages_limit_kb": 100,
     }
 
 
