Memory monitor: free memory goes back to the system, and the rest is held down

Cause: the heap returns only what is free at its end. One small object behind the buffers of a thousand connections keeps all of it. And the budget counts messages only: nothing held down what else a process takes.

Change: the monitor returns free memory (malloc_trim) when over 4 MB more than what is counted is resident, twice a second at most, after a vain try every 5 s. While the resident memory is over what the process may have, the budget of messages is smaller by the excess. Small requests have a quarter of the budget beyond its limit, whatever the limit is then.

--- a/badgerroad/memory_monitor.py
+++ b/badgerroad/memory_monitor.py
@@ -1,10 +1,14 @@
-"""Watches the resident memory of this process: logs when it is high, and lets the frontend free memory for messages."""
+"""Keeps the resident memory of this process below its limit.
+
+The memory budget counts the bytes of messages. This monitor sees all memory: it returns what is free to the system,
+and reduces the budget while the process takes more than is counted. It also lets the frontend free memory of messages.
+"""
 
 from __future__ import annotations
 
 from badgerroad.dispatcher import Dispatcher
 from badgerroad.net import logs
-from badgerroad.net.process_memory import BYTES_PER_KB, BYTES_PER_MB, resident_bytes
+from badgerroad.net.process_memory import BYTES_PER_KB, BYTES_PER_MB, resident_bytes, return_free_memory
 from badgerroad.net.timer_wheel import Timer, TimerWheel
 
 log = logs.get("badgerroad")
@@ -13,6 +17,11 @@
 # Fractions of `limits.memory_mb` at which the memory counts as high, and as normal again.
 HIGH_FRACTION = 0.85
 NORMAL_FRACTION = 0.75
+MIN_FREE_BYTES = 4 * BYTES_PER_MB  # free memory in the heap that is worth returning
+# Times until free memory is returned again: after a return that has gained much, and after one that has not.
+RETURN_INTERVAL_US = 500_000
+VAIN_RETURN_INTERVAL_US = 5_000_000
+MIN_GAIN_BYTES = BYTES_PER_MB
 
 
 class MemoryMonitor:
@@ -23,7 +32,9 @@
         self._dispatcher = dispatcher
         self._wheel = wheel
         self._limit = dispatcher.config.memory_mb * BYTES_PER_MB
+        self._resident_at_start = resident_bytes()
         self._is_high = False
+        self._next_return_at = 0
         self._timer: Timer | None = None
 
     def start(self) -> None:
@@ -36,9 +47,33 @@
         if self._timer is not None:
             self._timer.cancel()
 
+    @property
+    def _allowed(self) -> int:
+        """How much resident memory this process may have, beside the other process of an upgrade."""
+        plan, elsewhere = self._dispatcher.memory_plan, self._dispatcher.memory.resident_elsewhere
+        return plan.resident_bytes - (plan.reserved_bytes if elsewhere is None else elsewhere)
+
     def _check(self) -> None:
-        self._dispatcher.frontend.memory_relief.check()
         resident = resident_bytes()
+        if self._should_return_memory(resident):
+            resident = self._return_memory(resident)
+        self._dispatcher.memory.withhold(max(resident - self._allowed, 0))
+        self._dispatcher.frontend.memory_relief.check()
+        self._log_transition(resident)
+
+    def _should_return_memory(self, resident: int) -> bool:
+        free = resident - self._resident_at_start - self._dispatcher.memory.used
+        return (free > MIN_FREE_BYTES or resident > self._allowed) and self._wheel.clock.now() >= self._next_return_at
+
+    def _return_memory(self, resident: int) -> int:
+        """Return free memory to the system; return the resident memory after it."""
+        return_free_memory()
+        after = resident_bytes()
+        in_vain = resident - after < MIN_GAIN_BYTES
+        self._next_return_at = self._wheel.clock.now() + (VAIN_RETURN_INTERVAL_US if in_vain else RETURN_INTERVAL_US)
+        return after
+
+    def _log_transition(self, resident: int) -> None:
         if resident > self._limit * (NORMAL_FRACTION if self._is_high else HIGH_FRACTION):
             if not self._is_high:
                 log.warning("memory_high", **self._log_fields(resident))
--- a/badgerroad/net/memory_budget.py
+++ b/badgerroad/net/memory_budget.py
@@ -17,9 +17,8 @@
 # the heap.
 MESSAGES_SHARE = 0.5
 MARGIN_SHARE = 0.04  # part of the limit that the resident memory is kept away from it
-# Fractions of the limit. Memory is freed down to the first. Beyond the second, small requests are rejected too.
-HEADROOM_FRACTION = 0.75
-EXHAUSTED_FRACTION = 1.25
+HEADROOM_FRACTION = 0.75  # memory is freed down to this fraction of the limit
+SMALL_REQUESTS_SHARE = 0.25  # part of the total that small requests may take beyond the limit
 
 
 @dataclass(frozen=True)
@@ -28,7 +27,8 @@
 
     message_bytes: int  # most that messages may take
     connections: int  # most connections
-    resident_bytes: int  # most resident memory of a process that has no peer in an upgrade
+    resident_bytes: int  # most resident memory of all processes together
+    reserved_bytes: int  # part of it that is left to the second process of an upgrade before there is one
     has_room_for_upgrade: bool  # whether a second process fits
 
     @classmethod
@@ -41,7 +41,8 @@
         return cls(
             message_bytes=int((free_bytes - connections * CONNECTION_BYTES) * MESSAGES_SHARE),
             connections=connections,
-            resident_bytes=int((memory_mb * (1 - MARGIN_SHARE) - reserved_mb) * BYTES_PER_MB),
+            resident_bytes=int(memory_mb * (1 - MARGIN_SHARE) * BYTES_PER_MB),
+            reserved_bytes=reserved_mb * BYTES_PER_MB,
             has_room_for_upgrade=has_room_for_upgrade,
         )
 
@@ -53,6 +54,8 @@
         """Create a budget of `total` bytes."""
         self.total = total
         self.used = 0
+        # Resident memory of another process of this dispatcher that shares the limit; None if there is no such process.
+        self.resident_elsewhere: int | None = None
         self._used_elsewhere = 0
         self._withheld = 0
 
@@ -86,7 +89,7 @@
     @property
     def exhausted(self) -> bool:
         """Whether not even small requests fit."""
-        return self.used > self.limit * EXHAUSTED_FRACTION
+        return self.used > self.limit + self.total * SMALL_REQUESTS_SHARE
 
 
 class MemoryAccount:
--- a/benchmarks/memory_pressure/run.py
+++ b/benchmarks/memory_pressure/run.py
@@ -6,6 +6,7 @@
 import contextlib
 import itertools
 import sys
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -44,6 +45,7 @@
     usual: int = 0
     lost: list[str] = field(default_factory=list)
     rejected: int = 0
+    reasons: Counter[str] = field(default_factory=Counter)  # of other answers than 200, by their texts
 
     def __str__(self) -> str:
         """Return the figures in one line."""
@@ -52,6 +54,7 @@
             f"{self.kind:22} {self.limits.memory_mb:4} MB {self.limits.descriptors:5}: memory {self.before_mb:.0f}, "
             f"{self.peak_mb:.0f}, {self.after_mb:.0f} MB; usual requests {self.usual}, slowest {self.slowest_s:.2f} s, "
             f"rejected {self.rejected}, lost {len(self.lost)}{killed}"
+            f"{' ' + str(dict(self.reasons)) if self.reasons else ''}"
         )
 
 
@@ -106,13 +109,15 @@
             async with asyncio.timeout(USUAL_TIMEOUT_MS / 1000 + LATE_S):
                 reader, writer = await self._world.connect()
                 writer.write(job(name, "preview", USUAL_TIMEOUT_MS, b"x", "Work-Hint: 300000"))
-                head, _ = await read_message(reader)
+                head, body = await read_message(reader)
                 status = int(head.split()[1])
+                if status != 200:
+                    self._outcome.reasons[body.decode().strip()] += 1
                 writer.close()
         self._outcome.slowest_s = max(self._outcome.slowest_s, loop.time() - began_at)
         self._outcome.rejected += status in (429, 503)
         if status == 0:
-            self._outcome.lost.append(name)
+            self._outcome.lost.append(f"{name} after {loop.time() - began_at:.2f} s")
 
 
 async def play(
--- a/tests/dispatcher/test_memory_monitor.py
+++ b/tests/dispatcher/test_memory_monitor.py
@@ -46,3 +46,56 @@
     with pytest.raises(ConfigError, match="^limits.memory_mb: ") as error:
         check_config(data, {})
     assert "\n" not in error.value.line
+
+
+class ResidentMemory:
+    """Stands in for the resident memory of a process, of which a part is free and can be returned."""
+
+    def __init__(self, monkeypatch, used_mb):
+        self.used_mb, self.free_mb, self.returns = used_mb, 0, 0
+        monkeypatch.setattr(memory_monitor, "resident_bytes", lambda: (self.used_mb + self.free_mb) * BYTES_PER_MB)
+        monkeypatch.setattr(memory_monitor, "return_free_memory", self.return_free)
+
+    def return_free(self):
+        self.returns += 1
+        self.free_mb = 0
+
+
+def check(monitor):
+    monitor.start()
+    monitor.close()
+
+
+@async_test
+async def test_memory_that_ended_connections_have_left_free_is_returned_to_the_system(monkeypatch):
+    async with World(serve) as w:
+        resident = ResidentMemory(monkeypatch, used_mb=30)
+        monitor = MemoryMonitor(w.dispatcher, w.dispatcher.wheel)
+        account = w.dispatcher.memory.account()
+        account.resize(20 * BYTES_PER_MB)
+        resident.used_mb = 50
+        check(monitor)
+        assert resident.returns == 0  # all of it is in use
+        account.resize(0)
+        resident.used_mb, resident.free_mb = 30, 20
+        check(monitor)
+        assert (resident.returns, resident.free_mb) == (1, 0)
+        check(monitor)
+        assert resident.returns == 1
+
+
+@async_test
+async def test_the_budget_of_messages_shrinks_while_the_process_takes_more_than_is_counted(monkeypatch):
+    async with World(serve) as w:
+        plan, memory = w.dispatcher.memory_plan, w.dispatcher.memory
+        resident = ResidentMemory(monkeypatch, used_mb=30)
+        monitor = MemoryMonitor(w.dispatcher, w.dispatcher.wheel)
+        resident.used_mb = plan.resident_bytes // BYTES_PER_MB + 10
+        check(monitor)
+        assert memory.total - 10 * BYTES_PER_MB <= memory.limit < memory.total - 8 * BYTES_PER_MB
+        resident.used_mb = 30
+        check(monitor)
+        assert memory.limit == memory.total
+        memory.resident_elsewhere = plan.resident_bytes - 20 * BYTES_PER_MB  # the other process of an upgrade
+        check(monitor)
+        assert memory.limit == memory.total - 10 * BYTES_PER_MB
