Hot restart: both processes of an upgrade share one budget of memory

In an upgrade during a crowd the sum passed the limit while each process was below it.

Cause: descriptors were divided among the processes, memory was not.

Change: DescriptorAccounting becomes ResourceAccounting. The process that accepts leaves to the other what that one uses, the process that has yielded takes no more, and each keeps its resident memory within what the other one leaves.

--- a/badgerroad/hot_restart/actions.py
+++ b/badgerroad/hot_restart/actions.py
@@ -12,8 +12,8 @@
 from badgerroad.hot_restart import messages, rules, snapshot
 from badgerroad.hot_restart.attempt_reports import AttemptReports
 from badgerroad.hot_restart.connection_transfer import ConnectionTransfer
-from badgerroad.hot_restart.descriptor_accounting import DescriptorAccounting
 from badgerroad.hot_restart.peers import EventHandler, PeerProcess, Peers
+from badgerroad.hot_restart.resource_accounting import ResourceAccounting
 from badgerroad.hot_restart.rules import Action, PredecessorState
 from badgerroad.load_balancing import state
 from badgerroad.net import logs
@@ -54,7 +54,7 @@
         dispatcher: Dispatcher,
         wheel: TimerWheel,
         peers: Peers,
-        descriptors: DescriptorAccounting,
+        resources: ResourceAccounting,
         transfer: ConnectionTransfer,
         attempt_reports: AttemptReports,
         announce: Callable[[], None],
@@ -68,7 +68,7 @@
         self._dispatcher = dispatcher
         self._wheel = wheel
         self._peers = peers
-        self._descriptors = descriptors
+        self._resources = resources
         self._transfer = transfer
         self._attempt_reports = attempt_reports
         self._announce = announce
@@ -114,7 +114,7 @@
             self._actions_on_peer[action](peer)
             self._expect_reply(action, peer, handle_event)
         if action is Action.FORGET_PEER:
-            self._descriptors.reclaim_all()
+            self._resources.reclaim_all()
 
     def _expect_reply(self, action: Action, peer: PeerProcess, handle_event: EventHandler) -> None:
         timeout_us = rules.REPLY_TIMEOUT_US.get(action)
@@ -147,14 +147,14 @@
 
     def _use_offer(self, offer: messages.Offer) -> None:
         """Apply the offer's fields. Raises KeyError, TypeError, ValueError or EndpointListError if one is invalid."""
-        self._descriptors.set_peer_usage(int(_required_field(offer, "descriptors_in_use")))
+        self._resources.set_peer_usage(messages.ResourcesInUse(int(_required_field(offer, "descriptors_in_use"))))
         self._dispatcher.adopt_name_indices(_required_field(offer, "zones"), _required_field(offer, "machine_types"))
         self._dispatcher.start_discovery(_required_field(offer, "endpoint_list"))
 
     def _accept(self) -> None:
         self._dispatcher.frontend.start_accepting()
         self._announce()
-        self._descriptors.report_periodically()
+        self._resources.report_periodically()
 
     def _stop_accepting(self, peer: PeerProcess | None) -> None:
         for extension in self._dispatcher.extensions:
@@ -187,7 +187,7 @@
     def _close_channel(self, peer: PeerProcess) -> None:
         peer.channel.close()
         if self._peers.predecessor.state is PredecessorState.OVER and peer is self._peers.newer:
-            self._descriptors.reclaim_all()
+            self._resources.reclaim_all()
             self._peers.newer = None
 
     def _send_hello(self, peer: PeerProcess) -> None:
@@ -197,7 +197,7 @@
         listener = self._dispatcher.frontend.listener
         if listener is None:
             raise NoListenerError("cannot offer a listener: this process does not listen")
-        self._descriptors.reserve_for_successor()
+        self._resources.reserve_for_successor()
         peer.send(snapshot.offer(self._dispatcher), descriptor=listener.fileno())
 
     def _send_claim(self, peer: PeerProcess) -> None:
@@ -216,4 +216,4 @@
         with_state = peer is peers.newer
         peer.send(snapshot.grant(dispatcher, attempts, peers.open_requests, with_state))
         self._transfer.begin(peer)
-        self._descriptors.report_periodically()
+        self._resources.report_periodically()
--- a/badgerroad/hot_restart/connection_transfer.py
+++ b/badgerroad/hot_restart/connection_transfer.py
@@ -9,8 +9,8 @@
 from badgerroad.frontend.exchange import Exchange
 from badgerroad.hot_restart import messages, request_transfer
 from badgerroad.hot_restart.attempt_reports import AttemptReports
-from badgerroad.hot_restart.descriptor_accounting import DescriptorAccounting
 from badgerroad.hot_restart.peers import PeerProcess, Peers
+from badgerroad.hot_restart.resource_accounting import ResourceAccounting
 from badgerroad.hot_restart.unmatched_job_events import UnmatchedJobEvents
 from badgerroad.net.socket_stream import Address
 from badgerroad.net.timer_wheel import TimerWheel
@@ -29,7 +29,7 @@
         dispatcher: Dispatcher,
         wheel: TimerWheel,
         peers: Peers,
-        descriptors: DescriptorAccounting,
+        resources: ResourceAccounting,
         attempt_reports: AttemptReports,
         unmatched: UnmatchedJobEvents,
     ) -> None:
@@ -37,14 +37,14 @@
         self._dispatcher = dispatcher
         self._wheel = wheel
         self._peers = peers
-        self._descriptors = descriptors
+        self._resources = resources
         self._attempt_reports = attempt_reports
         self._unmatched = unmatched
 
     def begin(self, recipient: PeerProcess) -> None:
         """Start to pass connections and open requests to `recipient`."""
         self._peers.recipient = recipient
-        self._descriptors.leave_unused_to_peer()
+        self._resources.leave_unused_to_peer()
         backend = self._dispatcher.backend
         backend.successor = self._pass_worker_connection
         backend.pass_connections_on()
@@ -54,7 +54,7 @@
         """Stop passing connections and open requests."""
         self._peers.recipient = None
         self._dispatcher.backend.successor = None
-        self._descriptors.reclaim_all()
+        self._resources.reclaim_all()
 
     def _pass_clients(self) -> None:
         if self._dispatcher.frontend.successor is not None:
@@ -98,7 +98,7 @@
         """Take over a client's connection, with its open request if it has one."""
         dispatcher, request = self._dispatcher, message.request
         body, data = payload[: message.body_length], payload[message.body_length :]
-        self._descriptors.reclaim_one()
+        self._resources.reclaim_one()
         if request is None:
             dispatcher.frontend.adopt_connection(sock, message.connection, data, None)
             return
--- a/badgerroad/hot_restart/messages.py
+++ b/badgerroad/hot_restart/messages.py
@@ -287,20 +287,34 @@
 
 
 @dataclass(frozen=True, slots=True)
-class DescriptorsInUse:
-    """Reports how many descriptors the sender uses; also serves as its heartbeat."""
+class MemoryInUse:
+    """The memory of the sender: what its messages take, and its resident memory."""
+
+    message_bytes: int
+    resident_bytes: int
+
+
+@dataclass(frozen=True, slots=True)
+class ResourcesInUse:
+    """Reports what the sender uses of the limits that both processes share; also serves as its heartbeat."""
 
     kind: ClassVar[str] = "held"
     descriptors: int
+    memory: MemoryInUse | None = None  # older versions do not report it
 
     def to_head(self) -> Head:
         """See `Message`."""
-        return {"held": self.descriptors}
+        memory = self.memory
+        head: Head = {"held": self.descriptors}
+        return head if memory is None else {**head, "messages": memory.message_bytes, "resident": memory.resident_bytes}
 
     @classmethod
     def from_head(cls, head: Head) -> Self:
         """See `Message`."""
-        return cls(int(head["held"]))
+        descriptors = int(head["held"])
+        if "messages" not in head:
+            return cls(descriptors)
+        return cls(descriptors, MemoryInUse(int(head["messages"]), int(head["resident"])))
 
 
 AnyMessage = (
@@ -318,7 +332,7 @@
     | AttemptEnded
     | RequestEnded
     | Superseded
-    | DescriptorsInUse
+    | ResourcesInUse
 )
 _TYPES_BY_KIND: Mapping[str, type[AnyMessage]] = {
     message_type.kind: message_type
@@ -337,7 +351,7 @@
         AttemptEnded,
         RequestEnded,
         Superseded,
-        DescriptorsInUse,
+        ResourcesInUse,
     )
 }
 
--- a/badgerroad/hot_restart/process.py
+++ b/badgerroad/hot_restart/process.py
@@ -19,8 +19,8 @@
 from badgerroad.hot_restart.actions import ActionPerformer
 from badgerroad.hot_restart.attempt_reports import AttemptReports, record_peer_attempt
 from badgerroad.hot_restart.connection_transfer import ConnectionTransfer
-from badgerroad.hot_restart.descriptor_accounting import DescriptorAccounting
 from badgerroad.hot_restart.peers import EventHandler, PeerProcess, Peers
+from badgerroad.hot_restart.resource_accounting import ResourceAccounting
 from badgerroad.hot_restart.rules import Event, PredecessorState, SuccessorState
 from badgerroad.hot_restart.unmatched_job_events import RECEIVED_FROM_PEER, UnmatchedJobEvents
 from badgerroad.net import logs
@@ -52,15 +52,15 @@
         self._closed = False
         self._attempt_reports = AttemptReports(dispatcher)
         self._unmatched = UnmatchedJobEvents()
-        self._descriptors = DescriptorAccounting(dispatcher, wheel, self.peers)
+        self._resources = ResourceAccounting(dispatcher, wheel, self.peers)
         self._transfer = ConnectionTransfer(
-            dispatcher, wheel, self.peers, self._descriptors, self._attempt_reports, self._unmatched
+            dispatcher, wheel, self.peers, self._resources, self._attempt_reports, self._unmatched
         )
         self._actions = ActionPerformer(
             dispatcher,
             wheel,
             self.peers,
-            self._descriptors,
+            self._resources,
             self._transfer,
             self._attempt_reports,
             self.announce,
@@ -181,9 +181,8 @@
                 snapshot.restore(self.dispatcher, message, sender)
                 self.peers.open_requests |= sender.open_requests
                 handle_event(Event.GRANT)
-            case messages.DescriptorsInUse(descriptors):
-                if self.peers.recipient is None:
-                    self._descriptors.set_peer_usage(descriptors)
+            case messages.ResourcesInUse():
+                self._resources.set_peer_usage(message)
             case messages.RequestEnded(request_id):
                 self._on_request_ended(request_id, sender)
             case messages.ReceivedList(discovery, endpoint_list):
