Start: serve does not load the TLS library; large results and lost ones in the benchmark

At the smallest limits (32 MB) the process itself takes nearly all memory. asyncio loads the TLS library, which no connection here uses. `serve` imports asyncio without it; a later import works as usual, as the quotas of a fleet need it.

The benchmark of memory pressure gets clients that do not read a large result, and says which usual requests were lost, after how long, and why others were rejected.

--- a/badgerroad/__main__.py
+++ b/badgerroad/__main__.py
@@ -15,6 +15,8 @@
     # use TLS.
     os.environ.setdefault("SSL_CERT_FILE", os.devnull)
     gc.disable()  # imports create no garbage worth collecting
+    if sys.argv[1:2] == ["serve"]:
+        _import_asyncio_without_ssl()
     if sys.argv[1:2] in (["serve"], ["control"]):
         from badgerroad import startup_signals
 
@@ -25,5 +27,19 @@
     return main()
 
 
+def _import_asyncio_without_ssl() -> None:
+    """Import asyncio so that it does not load the TLS library, which takes 5 MB.
+
+    A later import of `ssl` works as usual.
+    """
+    if "asyncio" in sys.modules or "ssl" in sys.modules:
+        return
+    sys.modules["ssl"] = None  # type: ignore[assignment]  # makes the import fail, for which asyncio is prepared
+    try:
+        import asyncio  # noqa: F401
+    finally:
+        del sys.modules["ssl"]
+
+
 if __name__ == "__main__":
     sys.exit(start())
--- a/badgerroad/net/memory_budget.py
+++ b/badgerroad/net/memory_budget.py
@@ -9,7 +9,7 @@
 
 from badgerroad.net.process_memory import BYTES_PER_MB
 
-PROCESS_MB = 30  # resident memory of a process without clients
+PROCESS_MB = 27  # resident memory of a process without clients
 MIN_FREE_MB = 4  # with less beside the processes, the limits are those of a process with so much
 CONNECTION_BYTES = 6 * 1024  # memory of an idle connection of a client
 MAX_CONNECTIONS_SHARE = 0.4  # most of the free memory that idle connections may take
--- a/benchmarks/memory_pressure/disturbances.py
+++ b/benchmarks/memory_pressure/disturbances.py
@@ -13,6 +13,7 @@
 import contextlib
 import itertools
 import json
+import socket
 import sys
 from collections.abc import Awaitable, Callable, Iterator
 
@@ -25,6 +26,7 @@
 FLOOD_S = 6.0
 RECONNECT_S = 8.0  # for how long the clients of `reconnecting_crowd` connect again
 RECONNECT_DELAY_S = 0.01
+SMALL_BUFFER_BYTES = 2_048
 BATCH = 64  # requests written at once by a client at full speed
 
 
@@ -103,6 +105,17 @@
         await asyncio.sleep(GIVE_UP_S)
 
 
+async def unread_result(port: int, number: int) -> None:
+    """Send a small request whose result is large, and read nothing into a small buffer."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+    sock.setblocking(False)
+    with contextlib.closing(sock), contextlib.suppress(OSError):
+        await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", port))
+        await asyncio.get_running_loop().sock_sendall(sock, head(number, "Content-Length: 0", cls="large"))
+        await asyncio.sleep(GIVE_UP_S)
+
+
 async def waiting_request(port: int, number: int) -> None:
     """Send a complete large request, more of them than the workers run at once."""
     async with connection(port) as (reader, writer):
@@ -276,6 +289,7 @@
     "slow_body": crowd(slow_body, 900, 300),
     "slow_head": crowd(slow_head, 450, 300),
     "unread_answer": crowd(unread_answer, 450, 150),
+    "unread_result": crowd(unread_result, 900, 150),
     "waiting_request": crowd(waiting_request, 900, 150),
     "leaver": crowd(leaver, 200, 20),
     "again": reconnecting_crowd(half_written, 600),
--- a/benchmarks/memory_pressure/run.py
+++ b/benchmarks/memory_pressure/run.py
@@ -17,6 +17,7 @@
 
 WORKERS = 4
 RUN_S = 0.3
+LARGE_RESULT = "x" * 60_000
 USUAL_REQUESTS_IN_A_SECOND = 10
 USUAL_TIMEOUT_MS = 7_500
 LATE_S = 0.55  # a request without an answer so long after its time is lost
@@ -26,6 +27,7 @@
 CLASSES = [
     {**CLASS, "name": "preview", "deadlineUs": 7_500_000},
     {**CLASS, "name": "echo", "deadlineUs": 7_500_000},
+    {**CLASS, "name": "large", "deadlineUs": 7_500_000},
     {**CLASS, "name": "bundle", "semantics": "dedup", "group": "all", "dedupWindowUs": 5_000_000},
     {**CLASS, "name": "amend", "semantics": "fragile", "deadlineUs": 7_500_000},
 ]
@@ -54,18 +56,25 @@
             f"{self.kind:22} {self.limits.memory_mb:4} MB {self.limits.descriptors:5}: memory {self.before_mb:.0f}, "
             f"{self.peak_mb:.0f}, {self.after_mb:.0f} MB; usual requests {self.usual}, slowest {self.slowest_s:.2f} s, "
             f"rejected {self.rejected}, lost {len(self.lost)}{killed}"
-            f"{' ' + str(dict(self.reasons)) if self.reasons else ''}"
+            f"{' ' + str(dict(self.reasons)) if self.reasons else ''}{' ' + '; '.join(self.lost) if self.lost else ''}"
         )
 
 
+def result_of(head: bytes, body: bytes) -> str:
+    """Return the result of a job: its body, much, or little, by its class."""
+    if head.startswith(b"POST /echo"):
+        return body.decode()
+    return LARGE_RESULT if head.startswith(b"POST /large") else "made"
+
+
 async def run_job(world: World, head: bytes, body: bytes) -> bytes:
-    """Script of a worker that runs each job for RUN_S; the result of an `echo` is its body."""
+    """Script of a worker that runs each job for RUN_S."""
     if not head.startswith(b"POST"):
         return reply(200, b"rps=1,active=1,x0=0")
 
     async def finish() -> None:
         await asyncio.sleep(RUN_S)
-        result = body.decode() if head.startswith(b"POST /echo") else "made"
+        result = result_of(head, body)
         for _ in range(10):
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
                 await world.call_back(id_of(head), "done", world.name_of(head), result=result)
@@ -105,7 +114,8 @@
         began_at = loop.time()
         status = 0
         self._outcome.usual += 1
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
+        error = ""
+        try:
             async with asyncio.timeout(USUAL_TIMEOUT_MS / 1000 + LATE_S):
                 reader, writer = await self._world.connect()
                 writer.write(job(name, "preview", USUAL_TIMEOUT_MS, b"x", "Work-Hint: 300000"))
@@ -114,10 +124,12 @@
                 if status != 200:
                     self._outcome.reasons[body.decode().strip()] += 1
                 writer.close()
+        except (OSError, asyncio.IncompleteReadError) as exception:
+            error = repr(exception)
         self._outcome.slowest_s = max(self._outcome.slowest_s, loop.time() - began_at)
         self._outcome.rejected += status in (429, 503)
         if status == 0:
-            self._outcome.lost.append(f"{name} after {loop.time() - began_at:.2f} s")
+            self._outcome.lost.append(f"{name} after {loop.time() - began_at:.2f} s: {error}")
 
 
 async def play(
