Hot restart: a client with much behind an open request no longer ends the channel

A client had two large requests behind an open one. The old process had parsed the first and held part of the second, and serialized both for the new one, whose receive buffer takes 80 KB. The error closed the channel of the two processes. Each then served alone, and job events of attempts of one reached the other, which no longer passed them on.

Change: the receive buffer of an adopted connection takes what is passed with it.

The new test fails without the change (both processes accept, the channel is closed) and passes with it: all three requests are answered in order.

--- a/badgerroad/frontend/client.py
+++ b/badgerroad/frontend/client.py
@@ -398,6 +398,8 @@
         if state["left"] >= 0:
             self._start_request_timer(int(state["left"]))
         if data:
+            # Beside a full buffer, the other process may have had a parsed request and a part of the next one.
+            self.receive_buffer.raise_limit(len(data))
             self.receive_buffer.put(data)
         if restore_request is not None:
             restore_request(self)
--- a/badgerroad/net/ring_buffer.py
+++ b/badgerroad/net/ring_buffer.py
@@ -54,6 +54,10 @@
         """Append the first `count` bytes of the memory that `writable` returned, after they have been written."""
         self._count += count
 
+    def raise_limit(self, limit: int) -> None:
+        """Allow `limit` bytes, if the present limit is lower."""
+        self.limit = max(self.limit, limit)
+
     def put(self, data: bytes) -> None:
         """Append `data`. Raises ValueError if the limit would be exceeded."""
         needed = self._count + len(data)
--- a/tests/hot_restart/test_bytes_in_transit.py
+++ b/tests/hot_restart/test_bytes_in_transit.py
@@ -16,7 +16,7 @@
 from badgerroad.net.descriptor_budget import DescriptorBudget
 from badgerroad.net.memory_budget import MemoryBudget
 from tests.hot_restart.test_takeover import with_second_process
-from tests.support.loopback import World, async_test, id_of, job, read_message, serve, until
+from tests.support.loopback import World, async_test, id_of, job, read_message, reply, serve, until
 
 CLIENTS = 30
 BODY = b"".join(b"%07d " % number for number in range(7_500))  # 60,000 bytes, each part of them different
@@ -89,3 +89,32 @@
         assert len(kept) + unread == len(sent)
         await asyncio.sleep(0)
     peer.close()
+
+
+@async_test
+async def test_a_client_with_two_large_requests_behind_an_open_one_does_not_end_the_channel(tmp_path):
+    """Guards against an upgrade that loses the requests of all clients: the new process rejected one client's bytes."""
+
+    async def hold_the_first(world, head, body):
+        return reply(202) if b"first" in head else await serve(world, head, body)
+
+    async with World(hold_the_first, ops=True) as w:
+        await until(lambda: w.dispatcher.ready)
+        reader, writer = await w.connect()
+        writer.write(job("first") + job("second", body=BODY) + job("third", body=BODY))
+        (connection,) = await until_connected(w)
+        await until(lambda: connection.pipelined_request is not None and len(connection.receive_buffer) >= len(BODY))
+        async with with_second_process(w, tmp_path):
+            await until(lambda: not w.dispatcher.frontend.connections)
+            assert not w.dispatcher.frontend.accepting
+            assert await w.call_back("first", "done", result="made") == 200
+            for _ in range(3):
+                head, body = await asyncio.wait_for(read_message(reader), 5)
+                assert (head.split()[1], body) == (b"200", b"made")
+        received = [(id_of(head), body) for head, body in w.hosts[0].received if head.startswith(b"POST")]
+        assert received == [("first", b"x"), ("second", BODY), ("third", BODY)]
+
+
+async def until_connected(w):
+    await until(lambda: w.dispatcher.frontend.connections and next(iter(w.dispatcher.frontend.connections)).exchange)
+    return w.dispatcher.frontend.connections
