Parser: complete chunks are decoded in one pass, and their framing has a limit

Cause: each chunk of a body took some 7 microseconds (search, copy, match and state changes of its own), and only the data was limited, not the size lines, extensions and trailers. 896 clients with bodies in chunks of 50 bytes held the event loop for 0.1 to 0.6 s an iteration (event_loop_stalled in the log of 141).

Change: the complete chunks at the start of the buffer are decoded in one pass, and size lines, line ends and trailers together have a limit of six times the largest body, above what that body takes in chunks of one byte; beyond it 400.

Measured: a body of 64,000 bytes in chunks of 1, 2 and 50 bytes takes 101, 51 and 2.3 ms now. The test of endless framing fails without the change.

--- a/badgerroad/net/http1.py
+++ b/badgerroad/net/http1.py
@@ -46,6 +46,9 @@
 _ANY_VERSION = re.compile(rb"HTTP/\d\.\d\Z")
 _STATUS = re.compile(rb"[1-5]\d\d\Z")
 _LENGTH = re.compile(rb"\d{1,15}\Z")
+# Most bytes of size lines, line ends and trailers of a body in chunks, more than the largest body takes in chunks of
+# one byte. Without a limit one request could take any amount of processor time.
+MAX_FRAMING_BYTES = 6 * BODY_LIMIT
 _CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[\t -~\x80-\xff]*)?\Z")
 
 # Special values of the body's length, which is otherwise a number of bytes.
@@ -127,6 +130,7 @@
         self._scanned = 0  # number of bytes at the start of the buffer without the end of a head or a line
         self._length = 0  # length of the body in bytes, or _CHUNKED or _UNTIL_CLOSE
         self._chunks = bytearray()
+        self._framing_bytes = 0  # number of bytes of the body in chunks that are not its data
         self._chunk_remaining = _AT_SIZE_LINE  # missing bytes of the current chunk and its line end, or _IN_TRAILERS
 
     @property
@@ -208,6 +212,7 @@
             )
             self._length = self._body_length(head)
             self._chunk_remaining = _AT_SIZE_LINE
+            self._framing_bytes = 0
             if not self.responses or head.status >= 200:
                 self.head = head
                 self.memory_size = len(block) + HEADER_FIELD_BYTES * len(headers)
@@ -252,12 +257,22 @@
         end = self._find(b"\r\n")
         if end > HEADER_LIMIT or end < 0 and len(self.buffer) > HEADER_LIMIT:
             raise BadMessageError(400, "a line among the chunks is too long")
-        return self.buffer.take(end + 2)[:-2] if end >= 0 else None
+        if end < 0:
+            return None
+        self._count_framing(end + 2)
+        return self.buffer.take(end + 2)[:-2]
+
+    def _count_framing(self, count: int) -> None:
+        self._framing_bytes += count
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            raise BadMessageError(400, "the chunks are too many for their data")
 
     def _read_chunks(self) -> Message | None:
         while True:
             if self._chunk_remaining >= 0 and not self._take_chunk():
                 return None
+            if self._chunk_remaining == _AT_SIZE_LINE:
+                self._take_complete_chunks()
             line = self._take_line()
             if line is None:
                 return None
@@ -267,6 +282,35 @@
                 return self._complete(bytes(self._chunks))
             # Other lines are trailers, which are ignored.
 
+    def _take_complete_chunks(self) -> None:
+        """Remove the complete chunks with which the buffer begins, in one pass.
+
+        It stops before a chunk that is incomplete, malformed or too large, and before the last one.
+        """
+        data = self.buffer.peek()
+        parts = []
+        position = 0
+        space = self.body_limit - len(self._chunks)
+        while True:
+            line_end = data.find(b"\r\n", position, position + HEADER_LIMIT)
+            match = _CHUNK_SIZE_LINE.match(data, position, line_end) if line_end >= 0 else None
+            if match is None:
+                break
+            size = int(match[1], 16)
+            end = line_end + 2 + size
+            space -= size
+            if not size or space < 0 or data[end : end + 2] != b"\r\n":
+                break
+            parts.append(data[line_end + 2 : end])
+            position = end + 2
+        if position:
+            chunks = b"".join(parts)
+            self._count_framing(position - len(chunks))
+            self._chunks += chunks
+            self.memory_size += len(chunks)
+            self.buffer.skip(position)
+            self._scanned = 0
+
     def _take_chunk(self) -> bool:
         if len(self.buffer) < self._chunk_remaining:
             return False
--- a/tests/net/test_http1_parser.py
+++ b/tests/net/test_http1_parser.py
@@ -102,3 +102,48 @@
     with pytest.raises(http1.BadMessageError, match="too many fields") as caught:
         parse(first_line + b"a:\r\n" * 101 + b"\r\n", 10_000, responses)
     assert caught.value.status == 431
+
+
+@pytest.mark.parametrize("chunk_size", [1, 2, 3, 50, 1_000, 65_536])
+@pytest.mark.parametrize("piece_size", [7, 4_096, 10**6])
+def test_a_body_in_chunks_of_any_size_that_arrives_in_any_pieces_is_decoded(chunk_size, piece_size):
+    body = bytes(range(256)) * (256 if piece_size > 7 else 8)
+    chunks = [body[start : start + chunk_size] for start in range(0, len(body), chunk_size)]
+    data = b"POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    data += b"".join(b"%X;a=b\r\n%b\r\n" % (len(chunk), chunk) for chunk in chunks[:9])
+    data += b"".join(b"%x\r\n%b\r\n" % (len(chunk), chunk) for chunk in chunks[9:]) + b"0\r\nTrailer: 1\r\n\r\n"
+    buffer = RingBuffer(80 * 1024)
+    parser = http1.Parser(buffer)
+    message = None
+    for start in range(0, len(data), piece_size):
+        piece = data[start : start + piece_size]
+        while piece:
+            count = min(len(piece), buffer.limit - len(buffer))
+            buffer.put(piece[:count])
+            piece = piece[count:]
+            message = parser.next_message()
+    assert message is not None
+    assert message.body == body
+    assert parser.idle
+
+
+@pytest.mark.parametrize(
+    "rest",
+    [b"1;" + b"x" * 10_000 + b"\r\nx\r\n", b"0\r\n" + b"Trailer: x\r\n" * 1_000],
+    ids=["long extensions", "trailers"],
+)
+def test_a_body_whose_framing_never_ends_is_rejected(rest):
+    """Guards against one request that takes any amount of processor time."""
+    buffer = RingBuffer(80 * 1024)
+    parser = http1.Parser(buffer)
+    buffer.put(b"POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n")
+
+    def parse_for_ever(part):
+        for _ in range(1_000):
+            buffer.put(part)
+            parser.next_message()
+            part = part.removeprefix(b"0\r\n")
+
+    with pytest.raises(http1.BadMessageError) as error:
+        parse_for_ever(rest)
+    assert error.value.status == 400
