Tests: what waits, is noticed and is rejected while memory is short

Cause: the back pressure behind an open request and the part of small requests had no tests of their own. Change: three tests at the frontend: pipelined requests wait unread and are answered later, a client that leaves meanwhile is noticed, small requests are rejected only beyond their own part, and the transitions are logged once.

--- a/tests/frontend/test_short_memory.py
+++ b/tests/frontend/test_short_memory.py
@@ -134,3 +134,75 @@
         await until(lambda: not w.dispatcher.open_requests and not w.dispatcher.frontend.connections)
         assert w.dispatcher.memory.used == 0
         assert any(head.startswith(b"POST") for peer in w.hosts for head, _ in peer.received)
+
+
+async def finish(w, name):
+    """Report the only attempt of a request as done."""
+    (attempt,) = w.dispatcher.requests_by_id[name.encode()].attempts
+    assert await w.call_back(name, "done", attempt.worker, result="made") == 200
+
+
+@async_test
+async def test_requests_behind_an_open_one_wait_unread_while_memory_is_short_and_are_answered_later():
+    async def accept_first(world, head, body):
+        return reply(202) if b"first" in head else await serve(world, head, body)
+
+    async with World(accept_first) as w:
+        await until(lambda: w.dispatcher.ready)
+        w.dispatcher.memory.total = SHORT_LIMIT_BYTES
+        reader, writer = await w.connect()
+        writer.write(job("first", body=BODY))
+        await until(lambda: b"first" in w.dispatcher.requests_by_id)
+        other = w.dispatcher.memory.account()
+        other.resize(SHORT_LIMIT_BYTES)
+        writer.write(job("second", body=BODY) + job("third", body=BODY))
+        await until(lambda: w.dispatcher.frontend.memory_relief.paused)
+        (connection,) = w.dispatcher.frontend.memory_relief.paused
+        await asyncio.sleep(0.05)
+        assert connection.memory.size <= 2 * frontend_client.SMALL_REQUEST_BYTES
+        other.resize(0)
+        w.dispatcher.frontend.memory_relief.check()
+        await finish(w, "first")
+        for _ in range(3):
+            head, body = await read_message(reader)
+            assert (head.split()[1], body) == (b"200", b"made")
+        assert not w.dispatcher.frontend.memory_relief.paused
+
+
+@async_test
+async def test_a_client_that_leaves_while_its_bytes_wait_for_memory_is_noticed():
+    async def accept(world, head, body):
+        return reply(200 if head.startswith(b"DELETE") else 202)
+
+    async with World(accept) as w:
+        await until(lambda: w.dispatcher.ready)
+        w.dispatcher.memory.total = 0
+        _, writer = await w.connect()
+        writer.write(job("first") + job("second", body=BODY))
+        await until(lambda: w.dispatcher.frontend.memory_relief.paused)
+        writer.close()
+        await asyncio.sleep(0.05)
+        w.dispatcher.frontend.memory_relief.check()
+        await until(lambda: not w.dispatcher.open_requests and not w.dispatcher.frontend.connections)
+        assert not w.dispatcher.frontend.memory_relief.paused
+
+
+@async_test
+async def test_a_small_request_is_rejected_only_when_its_own_part_of_the_memory_is_used_too(capfd):
+    async with World(serve) as w:
+        await until(lambda: w.dispatcher.ready)
+        w.dispatcher.memory.total = SHORT_LIMIT_BYTES
+        other = w.dispatcher.memory.account()
+        other.resize(int(SHORT_LIMIT_BYTES * 1.1))
+        w.dispatcher.frontend.memory_relief.check()
+        w.dispatcher.frontend.memory_relief.check()
+        assert (await w.ask(job("r1")))[0] == 200
+        other.resize(int(SHORT_LIMIT_BYTES * 1.3))
+        status, head, _ = await w.ask(job("r2"))
+        assert status == 503
+        assert b"Retry-After: 1" in head
+        other.resize(0)
+        w.dispatcher.frontend.memory_relief.check()
+        assert (await w.ask(job("r3")))[0] == 200
+    lines = [line.split()[2] for line in capfd.readouterr().err.splitlines() if " memory_" in line]
+    assert lines == ["memory_short", "memory_recovered"]
