Memory monitor: a long endpoint list no longer takes the budget of messages

What callers would have seen: with thousands of workers on the list the process itself is larger than the memory that it may have beside a second process of an upgrade. The budget of messages was then zero for ever, and each request of over 4 KB was rejected. Found by reading, before a release.

Change: such a process uses the memory that would be left to a second one, and says once that an upgrade has no room: `no_memory_for_upgrade`, also at the start with a limit below two processes.

Measured: the new tests fail without the change (the limit is 0, no line).

--- a/badgerroad/memory_monitor.py
+++ b/badgerroad/memory_monitor.py
@@ -32,6 +32,7 @@
         self._wheel = wheel
         self._limit = dispatcher.config.memory_mb * BYTES_PER_MB
         self._is_high = False
+        self._has_warned_of_upgrade = False
         self._next_return_at = 0
         self._uncounted_after_return = resident_bytes()  # resident memory beside messages after the last return
         self._timer: Timer | None = None
@@ -50,7 +51,18 @@
     def _allowed(self) -> int:
         """How much resident memory this process may have, beside the other process of an upgrade."""
         plan, elsewhere = self._dispatcher.memory_plan, self._dispatcher.memory.resident_elsewhere
-        return plan.resident_bytes - (plan.reserved_bytes if elsewhere is None else elsewhere)
+        if elsewhere is not None:
+            return plan.resident_bytes - elsewhere
+        return plan.resident_bytes if self._is_too_large_for_upgrade else plan.resident_bytes - plan.reserved_bytes
+
+    @property
+    def _is_too_large_for_upgrade(self) -> bool:
+        """Whether the process itself, for example its endpoint list, leaves no room for messages and a second process.
+
+        It then uses the memory that would be left to the second one.
+        """
+        plan, messages = self._dispatcher.memory_plan, self._dispatcher.memory.total
+        return self._uncounted_after_return + messages // 2 > plan.resident_bytes - plan.reserved_bytes
 
     def _check(self) -> None:
         resident = resident_bytes()
@@ -59,6 +71,7 @@
         self._dispatcher.memory.withhold(max(resident - self._allowed, 0))
         self._dispatcher.frontend.memory_relief.check()
         self._log_transition(resident)
+        self._log_upgrade_room()
 
     def _should_return_memory(self, resident: int) -> bool:
         """Whether much memory has become free in the heap since it was last returned, as far as can be seen."""
@@ -89,6 +102,14 @@
             self._is_high = False
             log.info("memory_normal", **self._log_fields(resident))
 
+    def _log_upgrade_room(self) -> None:
+        """Warn once if a second process would take more memory than both may have."""
+        dispatcher = self._dispatcher
+        has_room = dispatcher.memory_plan.has_room_for_upgrade and not self._is_too_large_for_upgrade
+        if dispatcher.config.admin is not None and not has_room and not self._has_warned_of_upgrade:
+            self._has_warned_of_upgrade = True
+            log.warning("no_memory_for_upgrade", **self._log_fields(resident_bytes()))
+
     def _log_fields(self, resident: int) -> dict[str, int]:
         return {
             "resident_kb": resident // BYTES_PER_KB,
--- a/tests/dispatcher/test_memory_monitor.py
+++ b/tests/dispatcher/test_memory_monitor.py
@@ -99,3 +99,33 @@
         memory.resident_elsewhere = plan.resident_bytes - 20 * BYTES_PER_MB  # the other process of an upgrade
         check(monitor)
         assert memory.limit == memory.total - 10 * BYTES_PER_MB
+
+
+@async_test
+async def test_a_process_that_is_too_large_for_an_upgrade_uses_the_memory_left_to_a_second_one(monkeypatch, capfd):
+    """Guards against large requests that are rejected for ever because the endpoint list is long."""
+    async with World(serve, ops=True) as w:
+        plan, memory = w.dispatcher.memory_plan, w.dispatcher.memory
+        resident = ResidentMemory(monkeypatch, used_mb=30)
+        monitor = MemoryMonitor(w.dispatcher, w.dispatcher.wheel)
+        check(monitor)
+        assert plan.reserved_bytes
+        resident.used_mb = (plan.resident_bytes - plan.reserved_bytes) // BYTES_PER_MB + 5
+        for _ in range(2):
+            check(monitor)
+            assert memory.limit == memory.total
+        resident.used_mb = 30
+        check(monitor)
+    lines = [line for line in capfd.readouterr().err.splitlines() if " no_memory_for_upgrade " in line]
+    assert len(lines) == 1
+
+
+@pytest.mark.parametrize(("memory_mb", "warns"), [(40, True), (64, False)])
+@async_test
+async def test_a_limit_that_leaves_no_memory_for_an_upgrade_is_logged_at_the_start(
+    memory_mb, warns, monkeypatch, capfd
+):
+    async with World(serve, ops=True, memory_mb=memory_mb) as w:
+        ResidentMemory(monkeypatch, used_mb=24)
+        check(MemoryMonitor(w.dispatcher, w.dispatcher.wheel))
+    assert (" no_memory_for_upgrade " in capfd.readouterr().err) == warns
--- a/tests/support/loopback.py
+++ b/tests/support/loopback.py
@@ -128,12 +128,13 @@
 class World:
     """A dispatcher on loopback, with one worker for each of `scripts` and a discovery service that lists them.
 
-    `limits` is the number of descriptors, `discovery` replaces the script of the discovery service, `ops` opens the admin
+    `limits` is the number of descriptors, `memory_mb` the limit of memory, `discovery` replaces the script of the discovery service, `ops` opens the admin
     listener, and `settings` replaces single settings.
     """
 
-    def __init__(self, *scripts, limits=1024, discovery=None, ops=False, **settings):
-        self.scripts, self.limits, self.settings, self.ops = scripts, limits, {**SETTINGS, **settings}, ops
+    def __init__(self, *scripts, limits=1024, memory_mb=192, discovery=None, ops=False, **settings):
+        self.scripts, self.settings, self.ops = scripts, {**SETTINGS, **settings}, ops
+        self.limits, self.memory_mb = limits, memory_mb
         self.discovery_script, self.lists = discovery or self.whole_list, asyncio.Queue()
         self.tasks = []
 
@@ -146,7 +147,7 @@
             "name": "n0",
             "listen": "127.0.0.1:1",
             "seed": "1",
-            "limits": {"sockets": self.limits},
+            "limits": {"sockets": self.limits, "memory_mb": self.memory_mb},
             "discovery": f"127.0.0.1:{self.discovery.port}",
             "settings": self.settings,
             "known": {"seq": 1, "whole": True, "hosts": self.entries},
