Soak: crowds that hold much memory, on a platform that kills over the limit

Change: from seed 2000 on a long soak has one to three random crowds of benchmarks.memory_pressure; all soaks have a limit of 96 MB for the processes of a dispatcher together and report the rule MEMORY. Plans of earlier seeds are as they were.

--- a/benchmarks/memory_pressure/disturbances.py
+++ b/benchmarks/memory_pressure/disturbances.py
@@ -234,6 +234,13 @@
     return b"POST /v1/job-events HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body) + body
 
 
+def large_job_events(number: int) -> bytes:
+    """Return a job event of a request and a worker that nobody knows, with a large result."""
+    event = {"id": f"id{number}", "from": f"w{number}", "state": "done", "result": "x" * 60_000}
+    body = json.dumps(event).encode()
+    return b"POST /v1/job-events HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+
+
 def valid(number: int) -> bytes:
     """Return a valid request under a new id, with a key of its own."""
     return head(number, f"Idempotency-Key: {number:032x}", "Content-Length: 0", cls="bundle", timeout_ms=1_000)
@@ -307,6 +314,7 @@
     "unsound": flood(unsound),
     "without_id": flood(without_id),
     "job_events": flood(job_events),
+    "large_job_events": flood(large_job_events),
     "valid": flood(valid),
     "same_ids": flood(same_ids),
 }
--- a/benchmarks/soak/checker.py
+++ b/benchmarks/soak/checker.py
@@ -29,6 +29,7 @@
     REMOVED_WORKER = "an attempt began at a worker after it was reported as draining or removed"
     NOT_READY = "a started process was not ready in time"
     CRASH = "a process ended by itself"
+    MEMORY = "the processes of a dispatcher took more memory than its limit"
 
 
 class EndOfAttempt(enum.Enum):
--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -17,6 +17,10 @@
 LONG_DURATION_S = 22.0
 LAST_LONG_EVENT_S = 12.0
 HOLD_S = 0.15
+# Soaks from this seed on are long ones in which crowds hold much memory, on a platform with a memory limit.
+FIRST_MEMORY_SEED = 2000
+MEMORY_LIMIT_MB = 96
+MEMORY_CROWD_SCALE = 0.3  # of the crowds of `benchmarks.memory_pressure`
 
 
 class SignalKind(enum.Enum):
@@ -60,6 +64,15 @@
     state: DiscoveryState
 
 
+@dataclass(frozen=True)
+class MemoryCrowd:
+    """A random crowd of `benchmarks.memory_pressure` at one dispatcher."""
+
+    at_s: float
+    dispatcher: int
+    seed: int
+
+
 @dataclass(frozen=True)
 class SoakPlan:
     """What happens during one soak."""
@@ -72,6 +85,7 @@
     replaced_workers_at_s: tuple[float, ...]
     drained_workers_at_s: tuple[float, ...] = ()
     duration_s: float = DURATION_S
+    memory_crowds: tuple[MemoryCrowd, ...] = ()
 
     @classmethod
     def draw(cls, seed):
@@ -102,6 +116,7 @@
             ),
             drained_workers_at_s=tuple(sorted(draws.uniform(1, LAST_LONG_EVENT_S) for _ in range(draws.randint(1, 3)))),
             duration_s=LONG_DURATION_S,
+            memory_crowds=_draw_memory_crowds(draws) if seed >= FIRST_MEMORY_SEED else (),
         )
 
 
@@ -120,6 +135,13 @@
     return tuple(sorted(signals, key=lambda signal: signal.at_s))
 
 
+def _draw_memory_crowds(draws):
+    return tuple(
+        MemoryCrowd(draws.uniform(0.5, LAST_LONG_EVENT_S), draws.randrange(DISPATCHERS), draws.randrange(10**6))
+        for _ in range(draws.randint(1, 3))
+    )
+
+
 def _draw_long_signals(draws):
     """Draw series of signals, among them changes of discovery's address in quick succession, and single holds."""
     signals = [
--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from dataclasses import dataclass
 
+from benchmarks.memory_pressure.random_crowds import RandomCrowd
 from benchmarks.soak import plan as soak_plan
 from benchmarks.soak.checker import Checker, Violation
 from benchmarks.soak.clients import Client, hold_silent_connections
@@ -27,7 +28,8 @@
         rules = Counter(violation.rule.name.lower() for violation in self.violations)
         lines = [
             f"seed {self.plan.seed}: {sum(self.statuses.values())} answers {dict(sorted(self.statuses.items()))},"
-            f" signals {len(self.plan.signals)}, crowd {self.plan.has_crowd}, hedging {self.plan.hedging},"
+            f" signals {len(self.plan.signals)}, crowd {self.plan.has_crowd}, memory crowds {len(self.plan.memory_crowds)},"
+            f" hedging {self.plan.hedging},"
             f" own stall {self.longest_stall_s:.3f} s, violations {dict(rules) or 'none'}"
         ]
         lines += [f"    {each.at_s:7.3f} s {each.rule.name.lower()}: {each.detail}" for each in self.violations]
@@ -67,10 +69,14 @@
         for n in range(soak_plan.CLIENTS_PER_DISPATCHER * soak_plan.DISPATCHERS)
     ]
     tasks = [checker.watch_stalls(end_at), *(client.run() for client in clients)]
+    tasks += [dispatcher.watch_memory(end_at) for dispatcher in dispatchers]
     tasks += [_at(signal.at_s, dispatchers[signal.dispatcher].apply, signal.kind) for signal in plan.signals]
     tasks += [_at(at_s, fleet.replace_one) for at_s in plan.replaced_workers_at_s]
     tasks += [_at(at_s, fleet.drain_one) for at_s in plan.drained_workers_at_s]
     tasks += [_discovery_fault(fault, fleet, discoveries) for fault in plan.discovery_faults]
+    for crowd in plan.memory_crowds:
+        play = RandomCrowd(crowd.seed, dispatchers[crowd.dispatcher].address[1], soak_plan.MEMORY_CROWD_SCALE)
+        tasks.append(_at(crowd.at_s, play.run))
     if plan.has_crowd:
         tasks.append(hold_silent_connections(soak_plan.CROWD_SIZE, dispatchers, end_at))
     await asyncio.gather(*tasks)
