Hot restart: the old process does not end while requests wait to be passed on

Cause: 0.8 s after SIGTERM the old process ended whether or not connections were left to pass. With a busy event loop and a busy channel that was too short.

Change: only idle connections are left behind after 0.8 s; while a part of a request waits, the process passes connections on for up to 3 s. The condition is HotRestart.may_end.

Measured: the new test fails with the condition as it was (2 of 2 cases).

--- a/badgerroad/frontend/http.py
+++ b/badgerroad/frontend/http.py
@@ -211,6 +211,14 @@
         """Whether any connection has yet to be transferred."""
         return any(not connection.lingering for connection in self.connections)
 
+    @property
+    def has_requests_to_pass(self) -> bool:
+        """Whether a part of a request has arrived on a connection that has yet to be transferred."""
+        return any(
+            not connection.lingering and (connection.may_need_response or not connection.parser.idle)
+            for connection in self.connections
+        )
+
     def resume_accepting(self) -> None:
         """Accept and handle requests again, as the other process has ended or has returned the new requests."""
         self.successor = None
--- a/badgerroad/hot_restart/process.py
+++ b/badgerroad/hot_restart/process.py
@@ -34,6 +34,10 @@
 log = logs.get("badgerroad")
 
 PREPARED_CHECK_INTERVAL_US = 20_000  # time between two checks of whether discovery has answered
+# How long a process that ends waits for connections to be passed: for idle ones, and for those with a request. The
+# platform kills it 3.7 s after SIGTERM at the earliest.
+IDLE_PASSING_TIME_US = 800_000
+PASSING_TIME_US = 3_000_000
 
 # States in which the newer process has to send heartbeats.
 _HEARTBEAT_STATES = (PredecessorState.YIELDED, PredecessorState.SUPERSEDED)
@@ -72,6 +76,16 @@
         """Whether another process accepts the requests, and this one exits after its last response."""
         return self._actions.finishing
 
+    def may_end(self, elapsed_us: int) -> bool:
+        """Whether no client needs this process any more, `elapsed_us` after its shutdown began.
+
+        Called while a newer process accepts the requests and takes over the connections.
+        """
+        frontend = self.dispatcher.frontend
+        if not frontend.has_connections_to_pass or elapsed_us >= PASSING_TIME_US:
+            return True
+        return elapsed_us >= IDLE_PASSING_TIME_US and not frontend.has_requests_to_pass
+
     # Events and actions.
 
     async def begin(self) -> Address:
--- a/badgerroad/serving.py
+++ b/badgerroad/serving.py
@@ -239,8 +239,7 @@
         if hot_restart is not None and hot_restart.peers.relays_job_events and elapsed_us < PREDECESSOR_LIFETIME_US:
             return False
         if hot_restart is not None and hot_restart.finishing and dispatcher.frontend.successor is not None:
-            # The successor takes over the clients. Only connections that still have to be passed to it need time.
-            return not dispatcher.frontend.has_connections_to_pass or elapsed_us >= NEW_CONNECTIONS_GRACE_US
+            return hot_restart.may_end(elapsed_us)
         return elapsed_us >= NEW_CONNECTIONS_GRACE_US and dispatcher.end_client_connections()
 
     def _reload_operator_file(self) -> Operator | None:
--- a/tests/hot_restart/test_bytes_in_transit.py
+++ b/tests/hot_restart/test_bytes_in_transit.py
@@ -12,9 +12,11 @@
 
 import pytest
 
+from badgerroad.hot_restart.process import IDLE_PASSING_TIME_US, PASSING_TIME_US
 from badgerroad.net.connection import Connection
 from badgerroad.net.descriptor_budget import DescriptorBudget
 from badgerroad.net.memory_budget import MemoryBudget
+from badgerroad.net.unix_channel import UnixChannel
 from tests.hot_restart.test_takeover import with_second_process
 from tests.support.loopback import World, async_test, id_of, job, read_message, reply, serve, until
 
@@ -118,3 +120,33 @@
 async def until_connected(w):
     await until(lambda: w.dispatcher.frontend.connections and next(iter(w.dispatcher.frontend.connections)).exchange)
     return w.dispatcher.frontend.connections
+
+
+@pytest.mark.parametrize("part", ["unread", "read in part"])
+@async_test
+async def test_a_process_does_not_end_before_a_connection_with_a_request_is_passed(part, tmp_path, monkeypatch):
+    """Guards against requests that are lost at the end of the old process because it had no time to pass them on."""
+    try_send = UnixChannel.try_send
+    may_pass = False
+    monkeypatch.setattr(UnixChannel, "try_send", lambda *arguments: may_pass and try_send(*arguments))
+    async with World(serve, ops=True) as w:
+        await until(lambda: w.dispatcher.ready)
+        idle, (reader, writer) = await w.connect(), await w.connect()
+        await until(lambda: len(w.dispatcher.frontend.connections) == 2)
+        request = job("r1", body=BODY)
+        async with with_second_process(w, tmp_path) as (first, _):
+            first.terminate()
+            assert not first.may_end(IDLE_PASSING_TIME_US - 1)
+            assert first.may_end(IDLE_PASSING_TIME_US)  # only idle connections are left
+            if part == "unread":
+                for connection in w.dispatcher.frontend.connections:
+                    connection.stream.ignore_reads()
+            writer.write(request[: len(request) // 2])
+            await until(lambda: w.dispatcher.frontend.has_requests_to_pass)
+            assert not first.may_end(IDLE_PASSING_TIME_US)
+            assert first.may_end(PASSING_TIME_US)
+            may_pass = True
+            writer.write(request[len(request) // 2 :])
+            assert (await asyncio.wait_for(read_message(reader), 5))[0].startswith(b"HTTP/1.1 200 ")
+            await until(lambda: first.may_end(0))
+        idle[1].close()
