--- a/badgerroad/frontend/client.py
+++ b/badgerroad/frontend/client.py
@@ -31,8 +31,6 @@
 # A connection that holds no more bytes may always store what its client sends, so that small requests are served while
 # memory is short.
 SMALL_REQUEST_BYTES = 4 * 1024
-# After this time beyond the deadline of its request, a response that the client has not read is of no use to it.
-UNREAD_RESPONSE_GRACE_US = 600_000
 RETRY_SOON = [(b"Retry-After", b"1")]
 
 # Transfers a client's connection to another process, given its descriptor, the state that `restore` needs there, the
@@ -87,7 +85,7 @@
         self._discarded_bytes = 0  # number of bytes received after the open request and discarded
         self._continue_sent = False
         self._linger_timer: Timer | None = None
-        self._response_due_at = 0  # when the client no longer waits for the response that is being written
+        self.response_due_at = 0  # when the client no longer waits for the response that is being written
         self._start_request_timer(REQUEST_TIMEOUT_US)
 
     @property
@@ -165,15 +163,6 @@
             self.owner.memory_relief.paused.discard(self)
             self.update_reading()
 
-    def holds_idle_request(self, now: int) -> bool:
-        """Whether a part of a request takes memory, and none of it has arrived for a while."""
-        has_part = self.memory.size > SMALL_REQUEST_BYTES and not self.lingering
-        return has_part and not self.has_pending_response and now - self.last_activity_at >= EVICTION_GRACE_US
-
-    def has_overdue_response(self, now: int) -> bool:
-        """Whether the client has left a response unread until after the deadline of its request."""
-        return not self.all_written and now > self._response_due_at + UNREAD_RESPONSE_GRACE_US
-
     def reject_incomplete(self) -> None:
         """Reject the incomplete request because memory is short, and end the connection."""
         head = self.parser.head
@@ -275,14 +264,14 @@
     def _end_with(self, status: int, body: bytes, headers: Iterable[tuple[bytes, bytes]] = ()) -> None:
         self._closing = True
         self._abandon_exchange()
-        self._response_due_at = self.owner.timers.clock.now()
+        self.response_due_at = self.owner.timers.clock.now()
         self.send(http1.response(status, body, headers, close=True))
         self.end_gracefully()
 
     def respond(self, status: int, body: bytes, headers: Iterable[tuple[bytes, bytes]], close: bool) -> None:
         """Send the response to the open request; with `close` or a 4xx status the connection then ends."""
         now = self.owner.timers.clock.now()
-        self._response_due_at = max(self.exchange.deadline, now) if self.exchange is not None else now
+        self.response_due_at = max(self.exchange.deadline, now) if self.exchange is not None else now
         self.exchange = None
         self.served = True
         draining = self.owner.draining and self.owner.successor is None
--- a/badgerroad/frontend/eviction.py
+++ b/badgerroad/frontend/eviction.py
@@ -4,10 +4,13 @@
 
 from collections.abc import Callable, Iterable
 
-from badgerroad.frontend.client import ClientConnection
+from badgerroad.frontend.client import EVICTION_GRACE_US, SMALL_REQUEST_BYTES, ClientConnection
 from badgerroad.net.descriptor_budget import DescriptorBudget
 from badgerroad.net.memory_budget import MemoryBudget
 
+# After this time beyond the deadline of its request, a response that the client has not read is of no use to it.
+UNREAD_RESPONSE_GRACE_US = 600_000
+
 
 def end_idle(
     connections: Iterable[ClientConnection], descriptors: DescriptorBudget, now: int, until_headroom: bool
@@ -61,11 +64,23 @@
     """
     connections = list(connections)
     for connection in connections:
-        if connection.has_overdue_response(now):
+        if _has_overdue_response(connection, now):
             connection.close()
-    incomplete = [connection for connection in connections if connection.holds_idle_request(now)]
+    incomplete = [connection for connection in connections if _holds_idle_request(connection, now)]
     for connection in sorted(incomplete, key=lambda connection: connection.last_activity_at):
         if memory.has_headroom:
             break
         if not connection.peer_has_sent():
             connection.reject_incomplete()
+
+
+def _has_overdue_response(connection: ClientConnection, now: int) -> bool:
+    """Whether the client has left a response unread until after the deadline of its request."""
+    return not connection.all_written and now > connection.response_due_at + UNREAD_RESPONSE_GRACE_US
+
+
+def _holds_idle_request(connection: ClientConnection, now: int) -> bool:
+    """Whether a part of a request takes memory, and none of it has arrived for a while."""
+    if connection.lingering or connection.has_pending_response or connection.memory.size <= SMALL_REQUEST_BYTES:
+        return False
+    return now - connection.last_activity_at >= EVICTION_GRACE_US
--- a/badgerroad/memory_monitor.py
+++ b/badgerroad/memory_monitor.py
@@ -17,7 +17,7 @@
 # Fractions of `limits.memory_mb` at which the memory counts as high, and as normal again.
 HIGH_FRACTION = 0.85
 NORMAL_FRACTION = 0.75
-# Free memory in the heap that is worth returning: usually, and while memory is high or shared with another process.
+# Least free memory in the heap that is returned: usually, and while memory is high or shared with another process.
 MIN_FREE_BYTES = 4 * BYTES_PER_MB
 MIN_FREE_BYTES_UNDER_PRESSURE = BYTES_PER_MB // 2
 RETURN_INTERVAL_US = 500_000  # shortest time between two returns of free memory, except under pressure
--- a/badgerroad/net/memory_budget.py
+++ b/badgerroad/net/memory_budget.py
@@ -16,7 +16,7 @@
 # Part of the memory beside processes and connections that messages may take; the rest is for copies and for gaps in
 # the heap.
 MESSAGES_SHARE = 0.4
-MARGIN_SHARE = 0.06  # part of the limit that the resident memory is kept away from it
+MARGIN_SHARE = 0.06  # part of the limit that the resident memory must leave free
 HEADROOM_FRACTION = 0.75  # memory is freed down to this fraction of the limit
 SMALL_REQUESTS_SHARE = 0.25  # part of the total that small requests may take beyond the limit
 
--- a/badgerroad/net/process_memory.py
+++ b/badgerroad/net/process_memory.py
@@ -13,7 +13,7 @@
 
 
 def resident_bytes() -> int:
-    """Return the resident memory, 0 if the system does not tell it."""
+    """Return the resident memory, 0 if the system does not report it."""
     with contextlib.suppress(OSError, ValueError, IndexError), open(STATUS_PATH, encoding="ascii") as status:
         return int(status.read().split()[RESIDENT_PAGES]) * resource.getpagesize()
     return 0
--- a/benchmarks/memory_pressure/disturbances.py
+++ b/benchmarks/memory_pressure/disturbances.py
@@ -142,7 +142,7 @@
 async def complete_then_unsound(port: int, number: int) -> None:
     """Send a complete request, and bytes that are no request behind it."""
     async with connection(port) as (reader, writer):
-        writer.write(complete(number) + b"nonsense\r\n\r\n" + BODY)
+        writer.write(complete(number) + b"no request\r\n\r\n" + BODY)
         await reader.read()
 
 
@@ -219,7 +219,7 @@
 
 def unsound(number: int) -> bytes:
     """Return bytes that are no request."""
-    return f"nonsense {number}\r\n\r\n".encode()
+    return f"no-request {number}\r\n\r\n".encode()
 
 
 def without_id(number: int) -> bytes:
--- a/benchmarks/memory_pressure/random_crowds.py
+++ b/benchmarks/memory_pressure/random_crowds.py
@@ -1,4 +1,4 @@
-"""Crowds that mix sizes, phases, framings, paces and endings of requests, drawn from a seed."""
+"""Crowds that mix sizes, phases, framings, speeds and endings of requests, drawn from a seed."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 
 
 class Framing(enum.Enum):
-    """How the length of a body is told."""
+    """How the length of a body is given."""
 
     LENGTH = "length"
     ONE_CHUNK = "one chunk"
@@ -100,7 +100,7 @@
             case Ending.NO_LAST_BYTES:
                 return request[:-10]
             case Ending.UNSOUND:
-                return b"nonsense\r\n\r\n" + request
+                return b"no request\r\n\r\n" + request
 
 
 @dataclass(frozen=True)
--- a/tests/dispatcher/test_memory_monitor.py
+++ b/tests/dispatcher/test_memory_monitor.py
@@ -1,4 +1,4 @@
-"""The log lines and metrics that tell how much memory a process takes."""
+"""The log lines and metrics that show how much memory a process takes."""
 
 import pytest
 
--- a/tests/frontend/test_ended_connections.py
+++ b/tests/frontend/test_ended_connections.py
@@ -58,12 +58,12 @@
 
 
 async def unsound_bytes(w, reader, writer):
-    writer.write(b"nonsense\r\n\r\n" + BODY)
+    writer.write(b"no request\r\n\r\n" + BODY)
     await reader.read()
 
 
 async def unsound_bytes_behind_an_open_request(w, reader, writer):
-    writer.write(job(body=BODY) + b"nonsense\r\n\r\n")
+    writer.write(job(body=BODY) + b"no request\r\n\r\n")
     await reader.read()
 
 
@@ -180,7 +180,7 @@
         writer.close()
 
 
-@pytest.mark.parametrize("answer", [reply(202), reply(500), b"nonsense\r\n\r\n", None], ids=str)
+@pytest.mark.parametrize("answer", [reply(202), reply(500), b"no request\r\n\r\n", None], ids=str)
 @async_test
 async def test_an_ended_connection_to_a_worker_is_freed_at_once(answer):
     async def script(world, head, body):
--- a/tests/frontend/test_short_memory.py
+++ b/tests/frontend/test_short_memory.py
@@ -10,6 +10,7 @@
 import pytest
 
 from badgerroad.frontend import client as frontend_client
+from badgerroad.frontend import eviction
 from badgerroad.net.socket_stream import SocketStream
 from tests.support.loopback import World, async_test, job, read_message, reply, serve, until
 
@@ -82,7 +83,7 @@
 
 @async_test
 async def test_a_response_that_is_not_read_until_after_its_deadline_makes_room(monkeypatch):
-    monkeypatch.setattr(frontend_client, "UNREAD_RESPONSE_GRACE_US", 0)
+    monkeypatch.setattr(eviction, "UNREAD_RESPONSE_GRACE_US", 0)
     async with World(serve) as w:
         await until(lambda: w.dispatcher.ready)
         connection = await w.connect()
@@ -117,7 +118,7 @@
     async def client(w, number):
         reader, writer = await w.connect()
         data = job(f"r{number}", timeout=400, body=BODY[: draws.choice([10, 3_000, 60_000])])
-        data += draws.choice([b"", b"", job(f"s{number}", timeout=400), b"nonsense\r\n\r\n"])
+        data += draws.choice([b"", b"", job(f"s{number}", timeout=400), b"no request\r\n\r\n"])
         for _ in range(draws.randint(1, 3)):
             end = draws.choice([len(data), draws.randrange(len(data) + 1)])
             writer.write(data[:end])
