Server processes: the memory of the supervisor is not given to its processes

Change: the supervisor's part is taken off before the rest is divided. The new check in the test of the shares fails without it. Not played on real processes.

--- a/badgerroad/multiprocess/startup.py
+++ b/badgerroad/multiprocess/startup.py
@@ -9,6 +9,7 @@
 from badgerroad.config import Config, ConfigError, check_config, check_reload, parse
 from badgerroad.multiprocess import messages
 from badgerroad.net import framing
+from badgerroad.net.memory_budget import PROCESS_MB
 from badgerroad.process_messages import Head
 
 if TYPE_CHECKING:
@@ -44,7 +45,7 @@
         return config._replace(
             admin=None,
             max_sockets=sockets,
-            memory_mb=config.memory_mb / self.size,
+            memory_mb=max(config.memory_mb - PROCESS_MB, 1) / self.size,  # the supervisor is a process too
             seed=config.seed + (self.number << SEED_SHIFT),
             settings=settings._replace(
                 dispatcher_count=settings.dispatcher_count * self.size,
--- a/tests/multiprocess/test_multiprocess.py
+++ b/tests/multiprocess/test_multiprocess.py
@@ -19,6 +19,7 @@
 from badgerroad.multiprocess.server_process import ServerProcess
 from badgerroad.multiprocess.startup import ProcessIndex, StartParameters
 from badgerroad.multiprocess.supervisor import Supervisor, SupervisorOptions
+from badgerroad.net.memory_budget import PROCESS_MB
 from badgerroad.net.unix_channel import UnixChannel
 from tests.support.loopback import CLASS, SETTINGS, World, async_test, serve, until
 from tests.support.service import Service
@@ -166,6 +167,7 @@
         (12, 4 + n, None) for n in range(4)
     ]
     assert sum(share.max_sockets for share in shares) <= config.max_sockets - 36
+    assert sum(share.memory_mb for share in shares) <= config.memory_mb - PROCESS_MB  # the rest is the supervisor's
     assert len({share.seed for share in shares}) == 4
     with pytest.raises(ConfigError, match="limits.sockets"):
         ProcessIndex(0, 8).share_of(config)
