Shutdown: a client that has just connected has 0.1 s to send its request

Cause: at the end of a shutdown the backlog is accepted and every connection on which nothing is unread is ended at once, also one that was accepted in the same moment. The request that follows the connection by a millisecond is discarded.

Change: such a connection counts as awaited for 0.1 s, the time that an eviction leaves it too; the shutdown still ends after 0.6 s at most.

Evidence: the new test fails without the change (the client reads an end in place of an answer).

--- a/badgerroad/frontend/client.py
+++ b/badgerroad/frontend/client.py
@@ -109,6 +109,10 @@
         """Whether a response is pending, or bytes that may hold a request are unread."""
         return self.has_pending_response or (not self.lingering and self.peer_has_sent())
 
+    def awaits_first_request(self, now: int) -> bool:
+        """Whether the connection is so new that the client's first request may be on its way."""
+        return not self.served and not self.lingering and now - self.last_activity_at < EVICTION_GRACE_US
+
     def evictable(self, now: int) -> bool:
         """Whether the connection may be ended when descriptors are scarce.
 
--- a/badgerroad/frontend/http.py
+++ b/badgerroad/frontend/http.py
@@ -265,7 +265,11 @@
         elapsed = now - self._shutdown_started_at
         reading_is_over = elapsed >= FINAL_READ_TIME_US
         backlog_is_empty = self._listener.accept_backlog(lambda: not self.descriptors.exhausted)
-        awaited = [connection for connection in self.connections if connection.may_need_response]
+        awaited = [
+            connection
+            for connection in self.connections
+            if connection.may_need_response or connection.awaits_first_request(now)
+        ]
         if reading_is_over or (backlog_is_empty and not awaited):
             self._listener.close()
         for connection in list(self.connections):
--- a/tests/dispatcher/test_connection_endings.py
+++ b/tests/dispatcher/test_connection_endings.py
@@ -217,6 +217,19 @@
         late.close()
 
 
+@async_test
+async def test_at_a_shutdown_a_client_that_has_just_connected_has_time_to_send_its_request():
+    async with World(serve) as w:
+        await until(lambda: w.dispatcher.ready)
+        w.dispatcher.drain()
+        late = await w.connect()
+        assert not w.dispatcher.end_client_connections()
+        late[1].write(job("r1"))
+        while w.dispatcher.has_pending_responses or not w.dispatcher.end_client_connections():
+            await asyncio.sleep(0.005)
+        assert (await late[0].read()).startswith(b"HTTP/1.1 200 ")
+
+
 @async_test
 async def test_a_second_answer_is_not_taken_for_the_answer_to_the_next_attempt():
     """Otherwise a second Not-Started answer would report a running job as never started, and the job would run
