--- a/tests/load_balancing/test_deploy_file.py
+++ b/tests/load_balancing/test_deploy_file.py
@@ -38,3 +38,9 @@
         time.sleep(0.005)
     process.send_signal(signal.SIGHUP)
     assert process.wait(10) == 0
+
+
+def test_every_module_beside_the_packages_is_listed():
+    """Guards against a new module of the dispatcher that the deploy file does not name."""
+    modules = {path.relative_to(ROOT).as_posix() for path in (ROOT / "badgerroad").glob("*.py")}
+    assert modules - {"badgerroad/__init__.py"} == {name for name in deploy_file()["node"] if name in modules}
